--- a/src/agreement/Leadership.ts
+++ b/src/agreement/Leadership.ts
@@ -22,6 +22,7 @@
   readonly #peers = new Map<string, PeerProgress>()
   readonly #open = new Map<number, Settle>()
   readonly #ending = new Signal()
+  readonly #startedAt = performance.now()
   #durableIndex = 0
   #active = true
   #takesProposals = true
@@ -86,6 +87,17 @@
       .sort((left, right) => heardAt(right) - heardAt(left))
   }
 
+  /** @returns identities of voters that were not heard for so long, the longest silent first */
+  listSilent (milliseconds: number): string[] {
+    const until = performance.now() - milliseconds
+    if (this.#startedAt > until) return []
+    return votersOf(this.#core.configuration)
+      .map((member) => ({ identity: member.identity, contact: this.#contactOf(member) }))
+      .filter(({ contact }) => contact < until)
+      .sort((left, right) => left.contact - right.contact)
+      .map(({ identity }) => identity)
+  }
+
   /** @returns whether an entry of this term is committed */
   isEstablished (): boolean {
     return this.#core.tail.termAt(this.#core.commitIndex) === this.term
--- a/src/agreement/ReplicatedLog.ts
+++ b/src/agreement/ReplicatedLog.ts
@@ -119,6 +119,14 @@
     return { identity, address: options.address, group, role, term, leader, hasQuorum, hearsLeader, last: tail.last, commitIndex, appliedIndex, configuration, failure: failure?.message }
   }
 
+  /**
+   * @param milliseconds - how long
+   * @returns identities of voters that this leader has not heard for so long, the longest silent first; none at a follower
+   */
+  listSilent (milliseconds: number): string[] {
+    return this.#leadership?.isActive === true ? this.#leadership.listSilent(milliseconds) : []
+  }
+
   /**
    * Proposes a value, through the leader if this replica isn't.
    *
--- /dev/null
+++ b/src/control/ReplicaKeeper.ts
@@ -0,0 +1,144 @@
+import { askStatus } from '../agreement/askStatus.js'
+import type { ReconfigureAnswer } from '../agreement/messages/ReconfigureAnswer.js'
+import { ReconfigureAction } from '../agreement/ReconfigureAction.js'
+import type { ReplicatedLog } from '../agreement/ReplicatedLog.js'
+import { ReplicaRole } from '../agreement/ReplicaRole.js'
+import type { Log } from '../observe/Log.js'
+import type { CallPeer } from '../transport/CallPeer.js'
+import { PeerMethod } from '../types/PeerMethod.js'
+import { Step } from '../types/Step.js'
+import { pause } from '../utils/pause.js'
+import { chooseRepair, RepairKind, type Repair } from './chooseRepair.js'
+
+const STEP_MILLISECONDS = 200
+/** Wait for one member to add this replica; the leader asks for its status meanwhile. */
+const JOIN_MILLISECONDS = 1_500
+/** Silence after which a voter is replaced if there is a spare one; a freeze or a restart takes less. */
+const GONE_MILLISECONDS = 6_000
+/** Silence of the leader after which a replica asks whether it was removed meanwhile. */
+const ORPHAN_MILLISECONDS = 3_000
+const STATUS_MILLISECONDS = 500
+/** Time that each further seed gives the ones before it to form the group. */
+const BOOTSTRAP_STEP_MILLISECONDS = 2_000
+
+/** The part of a replica that its keeper uses. */
+export type KeptReplica = Pick<ReplicatedLog<unknown, unknown>, 'status' | 'bootstrap' | 'promote' | 'remove' | 'replace' | 'listSilent'>
+
+/** What a replica keeper works with. */
+export interface ReplicaKeeperOptions {
+  replica: KeptReplica
+  /** Own peer address. */
+  address: string
+  /** Peer addresses of the hosts that form the group. */
+  seeds: () => string[]
+  /** Whether the whole system starts for the first time. */
+  isFirstStart: boolean
+  /** @returns peer addresses of all control hosts known */
+  listPeers: () => string[]
+  /** Voters of a whole group. */
+  wantedVoters: () => number
+  callPeer: CallPeer
+  /** Called when this replica was removed for good; its folder must be emptied before it joins again. */
+  onRetired: () => void
+  log: Log
+}
+
+/** Forms the replica group, joins it, and keeps it whole, without an operator. */
+export class ReplicaKeeper {
+  readonly #options: ReplicaKeeperOptions
+  readonly #startedAt = performance.now()
+  #running = false
+  #heardLeaderAt = performance.now()
+
+  /** @param options - the replica and its peers */
+  constructor (options: ReplicaKeeperOptions) {
+    this.#options = options
+  }
+
+  /** Runs until {@link stop}. */
+  async run (): Promise<void> {
+    this.#running = true
+    while (this.#running) {
+      await this.#step()
+      await pause(STEP_MILLISECONDS)
+    }
+  }
+
+  stop (): void {
+    this.#running = false
+  }
+
+  async #step (): Promise<void> {
+    const { role, hasQuorum, hearsLeader } = this.#options.replica.status()
+    const now = performance.now()
+    if (hasQuorum || hearsLeader) this.#heardLeaderAt = now
+    if (role === ReplicaRole.Empty) await this.#enter()
+    else if (hasQuorum) await this.#mend()
+    else if (now - this.#heardLeaderAt > ORPHAN_MILLISECONDS) await this.#checkRetired()
+  }
+
+  async #enter (): Promise<void> {
+    if (this.#mayBootstrap() && await this.#bootstrap()) return
+    for (const address of this.#options.listPeers()) {
+      if (await this.#askToJoin(address)) return
+    }
+  }
+
+  #mayBootstrap (): boolean {
+    const { isFirstStart, address } = this.#options
+    const rank = this.#options.seeds().indexOf(address)
+    return isFirstStart && rank >= 0 && performance.now() - this.#startedAt >= rank * BOOTSTRAP_STEP_MILLISECONDS
+  }
+
+  async #bootstrap (): Promise<boolean> {
+    const { replica, log } = this.#options
+    const seeds = this.#options.seeds()
+    try {
+      await replica.bootstrap(seeds)
+      log.info('group-formed', { step: Step.Reconfigure, members: seeds.join(',') })
+      return true
+    } catch (error) {
+      log.info('group-not-formed', { step: Step.Reconfigure, cause: String(error) })
+      return false
+    }
+  }
+
+  async #askToJoin (peer: string): Promise<boolean> {
+    const { callPeer, address, log } = this.#options
+    const request = { action: ReconfigureAction.AddLearner, forwarded: false, address }
+    try {
+      const answer = await callPeer<ReconfigureAnswer>(peer, PeerMethod.Reconfigure, request, JOIN_MILLISECONDS)
+      log.info('join-asked', { step: Step.Reconfigure, peer, done: answer.done, reason: answer.reason })
+      return answer.done
+    } catch (error) {
+      log.info('join-failed', { step: Step.Reconfigure, peer, cause: String(error) })
+      return false
+    }
+  }
+
+  async #mend (): Promise<void> {
+    const { replica, log, wantedVoters } = this.#options
+    const repair = chooseRepair(replica.status().configuration, replica.listSilent(GONE_MILLISECONDS), wantedVoters())
+    if (repair === undefined) return
+    const answer = await this.#carryOut(repair)
+    log.info('group-repaired', { step: Step.Reconfigure, ...repair, done: answer.done, reason: answer.reason })
+  }
+
+  #carryOut (repair: Repair): Promise<ReconfigureAnswer> {
+    const { replica } = this.#options
+    if (repair.kind === RepairKind.Promote) return replica.promote(repair.identity)
+    if (repair.kind === RepairKind.Remove) return replica.remove(repair.identity)
+    return replica.replace(repair.lost, repair.address)
+  }
+
+  async #checkRetired (): Promise<void> {
+    const { replica, callPeer, listPeers, onRetired, log } = this.#options
+    const { identity, group } = replica.status()
+    const statuses = await Promise.all(listPeers().map((address) => askStatus(callPeer, address, STATUS_MILLISECONDS)))
+    this.#heardLeaderAt = performance.now()
+    if (!statuses.some((status) => status !== undefined && status.group === group && status.configuration.retired.includes(identity))) return
+    log.warn('replica-retired', { step: Step.Reconfigure, identity })
+    this.#running = false
+    onRetired()
+  }
+}
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import {
-  Counters, createMetricSink, declareCounters, GuestInterface, HttpListener, LossSignals, MemberState, OperatorInterface, OwnerChooser, Step,
+  Counters, createMetricSink, declareCounters, GuestInterface, HostTransport, HttpListener, LossSignals, MemberState, OperatorInterface, OwnerChooser, Step,
   type ChoiceExplanation, type ClosableMetricSink, type HostIdentity, type Log, type Member, type Membership, type Settings, type Sheet
 } from '../hibiscusrelay.js'
 import { createLookup } from './createLookup.js'
@@ -11,7 +11,7 @@
 import { HostLimits } from './HostLimits.js'
 import { HostRelay } from './HostRelay.js'
 import { HostSheets } from './HostSheets.js'
-import { HostTransport } from './HostTransport.js'
+import { createTransport } from './createTransport.js'
 import { waitUntil } from './waitUntil.js'
 
 const DESCRIBE_INTERVAL_MILLISECONDS = 250
@@ -49,7 +49,7 @@
     this.#metrics = settings.metricsAddress === undefined ? undefined : createMetricSink(settings.metricsAddress, { host: settings.host.name, domain: settings.host.domain })
     this.counters = new Counters(this.#metrics)
     declareCounters(this.counters)
-    this.#transport = new HostTransport(settings, this.counters)
+    this.#transport = createTransport(settings, this.counters)
     this.membership = createMembership(settings, this.#transport, this.counters, log)
     this.sheets = new HostSheets({ settings, transport: this.#transport, otherMembers: () => this.#otherMembers(), counters: this.counters, log })
     this.#chooser = new OwnerChooser({ self: settings.host, members: () => this.membership.members(), currentSheet: () => this.sheets.current(), random: Math.random })
--- a/src/daemon/HostLedger.ts
+++ b/src/daemon/HostLedger.ts
@@ -1,6 +1,5 @@
 import { createHmac } from 'node:crypto'
-import { chooseLedgerHosts, DEFAULT_LEDGER_LIMITS, LedgerMember, QuorumLedger, type Counters, type HostIdentity, type Log, type Settings } from '../hibiscusrelay.js'
-import type { HostTransport } from './HostTransport.js'
+import { chooseLedgerHosts, DEFAULT_LEDGER_LIMITS, LedgerMember, QuorumLedger, type Counters, type HostIdentity, type Log, type Settings, type HostTransport } from '../hibiscusrelay.js'
 
 const LEAVE_TIMEOUT_MILLISECONDS = 5_000
 
--- a/src/daemon/HostLimits.ts
+++ b/src/daemon/HostLimits.ts
@@ -1,8 +1,7 @@
 import {
   BudgetLeases, LinkBudgets, makeHostScopes, PlaceCaps, PlaceState, RampFollower,
-  type CapUse, type Counters, type Log, type Member, type PoolSummary, type ServiceCap, type Settings, type Sheet
+  type CapUse, type Counters, type Log, type Member, type PoolSummary, type ServiceCap, type Settings, type Sheet, type HostTransport
 } from '../hibiscusrelay.js'
-import type { HostTransport } from './HostTransport.js'
 
 /** How finely a ramp is told to others. */
 const OPEN_SHARE_STEPS = 100
--- a/src/daemon/HostRelay.ts
+++ b/src/daemon/HostRelay.ts
@@ -1,8 +1,7 @@
 import {
   AnnouncementHandler, CrashReporter, Ingress, Owner, PoisonGuard, PoolRegistry, RetryBudget, SuspectRuns, forwardToOwner, serveForwarded,
-  type ChooseOwner, type ClaimLedger, type Counters, type HostIdentity, type LinkBudgets, type Log, type RelayAnswer, type RelayedRequest, type ServiceCap, type Settings
+  type ChooseOwner, type ClaimLedger, type Counters, type HostIdentity, type LinkBudgets, type Log, type RelayAnswer, type RelayedRequest, type ServiceCap, type Settings, type HostTransport
 } from '../hibiscusrelay.js'
-import type { HostTransport } from './HostTransport.js'
 
 const DROP_INTERVAL_MILLISECONDS = 100
 
--- a/src/daemon/HostSheets.ts
+++ b/src/daemon/HostSheets.ts
@@ -1,10 +1,9 @@
 import { join } from 'node:path'
 import {
   createSheetReplica, digestOf, diskFiles, parseSheet, proposeToReplicas, recoverSheets, SheetSpreader, SheetSubmitter, Step,
-  type AcceptedSheet, type CheckedSheet, type Counters, type HostIdentity, type Log, type Member, type RegisterPeerHandler, type Settings, type Sheet, type SheetCheck, type SheetInForce, type SheetReplica, type SheetSubmission, type SpreadPeer, type SubmitAnswer
+  type AcceptedSheet, type CheckedSheet, type Counters, type HostIdentity, type Log, type Member, type RegisterPeerHandler, type Settings, type Sheet, type SheetCheck, type SheetInForce, type SheetReplica, type SheetSubmission, type SpreadPeer, type SubmitAnswer, type HostTransport
 } from '../hibiscusrelay.js'
 import { randomUUID } from 'node:crypto'
-import type { HostTransport } from './HostTransport.js'
 
 /** What the sheets of a host are wired to. */
 export interface HostSheetsOptions {
--- a/src/daemon/createMembership.ts
+++ b/src/daemon/createMembership.ts
@@ -1,5 +1,4 @@
-import { GossipMembership, type Counters, type Log, type Membership, type Settings } from '../hibiscusrelay.js'
-import type { HostTransport } from './HostTransport.js'
+import { GossipMembership, type Counters, type Log, type Membership, type Settings, type HostTransport } from '../hibiscusrelay.js'
 
 /** Creates the membership of a host from its settings. */
 export function createMembership (settings: Settings, transport: HostTransport, counters: Counters, log: Log): Membership {
--- /dev/null
+++ b/src/entry/EntryHostProcess.ts
@@ -0,0 +1,170 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { ControlFollower } from '../follow/ControlFollower.js'
+import { KnownState } from '../follow/KnownState.js'
+import type { Counters } from '../observe/Counters.js'
+import type { Log } from '../observe/Log.js'
+import type { RetryBound } from '../placement/RetryShare.js'
+import type { EntryHost } from '../registry/EntryHost.js'
+import { isGone } from '../registry/UpstreamRecord.js'
+import { PoisonGuard } from '../relay/PoisonGuard.js'
+import { HttpListener } from '../transport/HttpListener.js'
+import type { CallPeer } from '../transport/CallPeer.js'
+import { Step } from '../types/Step.js'
+import { CrashWatch } from './CrashWatch.js'
+import { EntryRelay } from './EntryRelay.js'
+import { GuestListener, type GuestListenerOptions } from './GuestListener.js'
+import { UpstreamConnections } from './UpstreamConnections.js'
+import { UpstreamLoads } from './UpstreamLoads.js'
+import type { UpstreamProtocol } from './UpstreamProtocol.js'
+
+/** Largest header that is read before a plan names its own limit. */
+const HEADER_BYTES = 65_536
+/** Answers up to this size are read whole before they are passed on. */
+const ANSWER_BUFFER_BYTES = 262_144
+const TIDY_MILLISECONDS = 5_000
+/** How long a stopping host still takes new connections: guests keep what the directory told them for some seconds. */
+const CLOSING_MILLISECONDS = 1_500
+/** Part of the time to a stop that is kept for closing what is left. */
+const STOP_RESERVE_MILLISECONDS = 400
+
+/** Settings of an entry host; the changeable ones are read anew at each use. */
+export interface EntryHostSettings {
+  name: string
+  domain: string
+  region: string
+  guestAddress: string
+  /** Peer addresses of control hosts. */
+  seeds: string[]
+  /** Region of each failure domain. */
+  regions: Map<string, string>
+  retryBound: RetryBound
+  /** Time from the order to stop to the end of the process. */
+  stopMilliseconds: number
+}
+
+/** What an entry host works with. */
+export interface EntryHostOptions {
+  settings: () => EntryHostSettings
+  protocol: UpstreamProtocol
+  readFields: GuestListenerOptions['readFields']
+  malformedAnswer: (status: number) => string
+  callPeer: CallPeer
+  random: () => number
+  counters: Counters
+  log: Log
+}
+
+/** A host that takes guests' requests under a routing plan. It keeps nothing on disk. */
+export class EntryHostProcess {
+  readonly #options: EntryHostOptions
+  readonly #known = new KnownState()
+  readonly #loads = new UpstreamLoads()
+  readonly #connections = new UpstreamConnections()
+  readonly #poison = new PoisonGuard()
+  readonly #follower: ControlFollower
+  readonly #listener: HttpListener
+  #isListening = false
+  #isStopping = false
+  #tidy: NodeJS.Timeout | undefined
+
+  /** @param options - settings and protocols */
+  constructor (options: EntryHostOptions) {
+    this.#options = options
+    const crashes = new CrashWatch(this.#poison, options.log)
+    this.#follower = this.#createFollower(crashes)
+    const guests = new GuestListener({ ...options, known: this.#known, relay: this.#createRelay(crashes) })
+    this.#listener = new HttpListener({
+      address: options.settings().guestAddress,
+      headerBytes: HEADER_BYTES,
+      handle: (request, response) => guests.handle(request, response),
+      onMalformed: options.malformedAnswer
+    })
+  }
+
+  /** Whether the host takes guests. */
+  get isReady (): boolean {
+    return this.#isListening && !this.#isStopping && this.#known.plan !== undefined
+  }
+
+  /** Starts to follow the control hosts and to listen. */
+  async start (): Promise<void> {
+    this.#follower.run().catch((error: unknown) => { this.#options.log.error('follower-failed', { step: Step.Follow, cause: String(error) }) })
+    await this.#listener.open()
+    this.#isListening = true
+    this.#tidy = setInterval(() => { this.#forgetGone() }, TIDY_MILLISECONDS)
+  }
+
+  /**
+   * Stops: guests are told to leave, and requests in flight end first.
+   *
+   * @returns requests that were cut off
+   */
+  async stop (): Promise<number> {
+    const end = performance.now() + this.#options.settings().stopMilliseconds - STOP_RESERVE_MILLISECONDS
+    this.#isStopping = true
+    this.#listener.beginClose()
+    await this.#follower.report()
+    await sleep(CLOSING_MILLISECONDS)
+    await this.#listener.closeWithin(end - performance.now())
+    const cut = this.#listener.inFlight
+    this.#follower.stop()
+    clearInterval(this.#tidy)
+    return cut
+  }
+
+  #createFollower (crashes: CrashWatch): ControlFollower {
+    const { callPeer, random, log, settings } = this.#options
+    return new ControlFollower({
+      seeds: () => settings().seeds,
+      describeHost: () => this.#describe(),
+      known: this.#known,
+      takeLosses: () => crashes.takeUnreported(),
+      putLossesBack: (records) => { crashes.putBack(records) },
+      onLosses: (records) => { for (const record of records) this.#poison.noteLoss(record) },
+      onPlan: () => { this.#takePlan() },
+      callPeer,
+      random,
+      log
+    })
+  }
+
+  #createRelay (crashes: CrashWatch): EntryRelay {
+    const { settings, protocol, random, counters, log } = this.#options
+    return new EntryRelay({
+      hostName: settings().name,
+      known: this.#known,
+      loads: this.#loads,
+      connections: this.#connections,
+      protocol,
+      poison: this.#poison,
+      crashes,
+      retryBound: () => settings().retryBound,
+      regionOf: (domain) => settings().regions.get(domain),
+      answerBufferBytes: ANSWER_BUFFER_BYTES,
+      random,
+      counters,
+      log
+    })
+  }
+
+  #describe (): EntryHost {
+    const { name, domain, region, guestAddress } = this.#options.settings()
+    return { name, domain, region, guestAddress, isReady: this.isReady }
+  }
+
+  #takePlan (): void {
+    const { plan } = this.#known
+    if (plan === undefined) return
+    this.#listener.setIdleTimeout(plan.limits.idleTimeoutMilliseconds)
+    this.#options.log.info('plan-in-force', { step: Step.Follow, version: plan.version, routes: plan.routes.length })
+  }
+
+  #forgetGone (): void {
+    const isInUse = (id: string): boolean => {
+      const entry = this.#known.upstreams.get(id)
+      return entry !== undefined && !isGone(entry.record)
+    }
+    this.#connections.keepOnly(({ id }) => isInUse(id))
+    this.#loads.keepOnly(isInUse)
+  }
+}
--- /dev/null
+++ b/src/entry/EntryRequest.ts
@@ -0,0 +1,23 @@
+import type { PlanRoute } from '../plan/RoutingPlan.js'
+import type { HeaderField } from '../relay/RelayedRequest.js'
+
+/** A guest's request at the entry host that it was sent to. */
+export interface EntryRequest {
+  /** Identifier of this send of the guest. */
+  id: string
+  method: string
+  /** Path and query. */
+  path: string
+  headers: HeaderField[]
+  body: Buffer
+  route: PlanRoute
+  /** The object that the request is about, if the guest named one. */
+  objectKey: string | undefined
+  /** When the guest stops waiting, on the clock of `performance.now()`. */
+  guestDeadline: number
+  /** When an answer is due here: the guest's deadline or the route's timeout, whichever comes first. */
+  deadline: number
+  arrivedAt: number
+  /** Aborted when the guest goes away. */
+  cancelled: AbortSignal
+}
--- /dev/null
+++ b/src/entry/GuestListener.ts
@@ -0,0 +1,124 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { KnownState } from '../follow/KnownState.js'
+import type { Counters } from '../observe/Counters.js'
+import { refusalCounter } from '../observe/declareCounters.js'
+import type { Log } from '../observe/Log.js'
+import { chooseRetryAfter } from '../placement/chooseRetryAfter.js'
+import { deliverBody, describeLength } from '../relay/deliverBody.js'
+import { isHopHeader } from '../relay/isHopHeader.js'
+import { refuse } from '../relay/refuse.js'
+import { refusalStatus } from '../relay/refusalStatus.js'
+import type { RelayAnswer } from '../relay/RelayAnswer.js'
+import { listEndToEndHeaders } from '../guest/listEndToEndHeaders.js'
+import { readBody } from '../transport/readBody.js'
+import { RefusalReason } from '../types/RefusalReason.js'
+import { Step } from '../types/Step.js'
+import type { EntryRelay } from './EntryRelay.js'
+import type { EntryRequest } from './EntryRequest.js'
+
+const STATUS_UNAVAILABLE = 503
+/** Time for a request whose guest names no deadline. */
+const DEFAULT_DEADLINE_MILLISECONDS = 30_000
+
+/** What a guest says of a request beside what HTTP itself carries. */
+export interface GuestFields {
+  id: string
+  deadlineMilliseconds: number | undefined
+  objectKey: string | undefined
+}
+
+/** What a guest listener works with. */
+export interface GuestListenerOptions {
+  known: KnownState
+  relay: EntryRelay
+  /** Reads what a guest says of its request; undefined when it is malformed. */
+  readFields: (message: IncomingMessage) => GuestFields | undefined
+  random: () => number
+  counters: Counters
+  log: Log
+}
+
+/** Answers guests of an entry host that follows a routing plan. */
+export class GuestListener {
+  readonly #options: GuestListenerOptions
+
+  /** @param options - where requests go */
+  constructor (options: GuestListenerOptions) {
+    this.#options = options
+  }
+
+  /** Handles one HTTP request. */
+  async handle (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { log } = this.#options
+    try {
+      await this.#serve(message, response)
+    } catch (error) {
+      log.error('guest-request-failed', { step: Step.Ingress, peer: message.socket.remoteAddress, cause: String(error) })
+      response.destroy()
+    }
+  }
+
+  async #serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const cancellation = new AbortController()
+    response.once('close', () => { if (!response.writableFinished) cancellation.abort() })
+    const request = await this.#read(message, cancellation.signal)
+    if (typeof request === 'string') return this.#refuse(message, response, request)
+    const answer = await this.#options.relay.serve(request)
+    if (response.destroyed) return
+    await this.#deliver(response, answer, request)
+  }
+
+  async #read (message: IncomingMessage, cancelled: AbortSignal): Promise<EntryRequest | RefusalReason> {
+    const { known, readFields } = this.#options
+    const arrivedAt = performance.now()
+    const { plan, routes } = known
+    if (plan === undefined || routes === undefined) return RefusalReason.NoPlan
+    const path = message.url ?? ''
+    const route = routes.find((message.headers.host ?? '').replace(/:\d+$/, '').toLowerCase(), path)
+    if (route === undefined) return RefusalReason.UnknownPath
+    const fields = readFields(message)
+    if (fields === undefined) return RefusalReason.BadRequest
+    const body = await readBody(message, plan.limits.bodyBytes)
+    if (body === undefined) return RefusalReason.BodyTooLarge
+    const guestDeadline = arrivedAt + (fields.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS)
+    return {
+      id: fields.id,
+      method: message.method ?? '',
+      path,
+      headers: [{ name: 'host', value: message.headers.host ?? '' }, ...listEndToEndHeaders(message)],
+      body,
+      route,
+      objectKey: fields.objectKey,
+      guestDeadline,
+      deadline: Math.min(guestDeadline, arrivedAt + route.timeoutMilliseconds),
+      arrivedAt,
+      cancelled
+    }
+  }
+
+  async #deliver (response: ServerResponse, answer: RelayAnswer, request: EntryRequest): Promise<void> {
+    for (const { name, value } of answer.headers) {
+      if (!isHopHeader(name)) response.appendHeader(name, value)
+    }
+    if (answer.reason !== undefined) this.#describeRefusal(response, answer.status, answer.reason, request.guestDeadline - performance.now())
+    response.writeHead(answer.status, describeLength(answer.body))
+    await deliverBody(answer.body, response)
+  }
+
+  #describeRefusal (response: ServerResponse, status: number, reason: RefusalReason, remaining: number): void {
+    response.setHeader('hibiscusrelay-reason', reason)
+    if (status === STATUS_UNAVAILABLE) response.setHeader('retry-after', String(chooseRetryAfter(Math.max(0, remaining), this.#options.random())))
+  }
+
+  #refuse (message: IncomingMessage, response: ServerResponse, reason: RefusalReason): void {
+    const { counters, log, known, readFields } = this.#options
+    counters.increment(refusalCounter(reason))
+    const fields = readFields(message)
+    log.warn('request-refused', { step: Step.Ingress, request: fields?.id, reason, host: message.headers.host, path: message.url, plan: known.plan?.version })
+    const answer = refuse(reason)
+    if (!message.complete) response.setHeader('connection', 'close')
+    this.#describeRefusal(response, refusalStatus(reason), reason, fields?.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS)
+    const body = answer.body as Buffer
+    response.writeHead(answer.status, { 'content-type': 'application/json', 'content-length': body.length }).end(body)
+  }
+}
--- /dev/null
+++ b/src/entry/RequestTrack.ts
@@ -0,0 +1,44 @@
+import { RefusalReason } from '../types/RefusalReason.js'
+import { RetryReason } from '../types/RetryReason.js'
+
+/** What became of one request so far. */
+export class RequestTrack {
+  readonly service: string
+  readonly fingerprint: string
+  /** Identifiers of the upstreams that were tried. */
+  readonly tried = new Set<string>()
+  /** Attempts that reached an upstream. */
+  sends = 0
+  /** Attempts that reached none. */
+  connects = 0
+  /** Whether an upstream may have run it without its answer being known. */
+  mayHaveRun = false
+  /** Why the last attempt gave no answer. */
+  reason = RefusalReason.NoUpstream
+  /** Why the answer of an attempt that may have run is missing. */
+  lostReason = RefusalReason.AnswerLost
+  retryReason = RetryReason.Shed
+
+  /**
+   * @param service - the service chosen for the request
+   * @param fingerprint - digest of what the request does
+   */
+  constructor (service: string, fingerprint: string) {
+    this.service = service
+    this.fingerprint = fingerprint
+  }
+
+  /** Notes an attempt that surely ran nothing. */
+  noteNotRun (reason: RefusalReason, retryReason: RetryReason): void {
+    this.reason = reason
+    this.retryReason = retryReason
+  }
+
+  /** Notes an attempt that may have run. */
+  noteLost (reason: RefusalReason): void {
+    this.mayHaveRun = true
+    this.reason = reason
+    this.lostReason = reason
+    this.retryReason = RetryReason.AnswerLost
+  }
+}
--- /dev/null
+++ b/src/entry/UpstreamConnections.ts
@@ -0,0 +1,45 @@
+import { buildConnector, Pool, type Dispatcher } from 'undici'
+import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
+import { failResets } from '../relay/failResets.js'
+
+/** A round trip between regions takes 110 ms; a lost packet is sent again after a second, when another upstream is the better choice. */
+const CONNECT_MILLISECONDS = 500
+/** Upstreams close idle connections after some 10 s; closing first avoids a send into a closed connection. */
+const IDLE_MILLISECONDS = 6_000
+/** One host's most connections to one upstream; a host has seldom more requests there than slots. */
+const MOST_CONNECTIONS = 32
+
+/** Connections of this host to upstreams, one request at a time on each. */
+export class UpstreamConnections {
+  readonly #pools = new Map<string, { record: UpstreamRecord, pool: Pool }>()
+
+  /** @returns connections to an upstream */
+  to (record: UpstreamRecord): Dispatcher {
+    const known = this.#pools.get(record.address)
+    if (known !== undefined && known.record.id === record.id) return known.pool
+    known?.pool.close().catch(() => {})
+    const pool = new Pool(`http://${record.address}`, {
+      connections: MOST_CONNECTIONS,
+      pipelining: 1,
+      keepAliveTimeout: IDLE_MILLISECONDS,
+      keepAliveMaxTimeout: IDLE_MILLISECONDS,
+      connect: failResets(buildConnector({ timeout: CONNECT_MILLISECONDS }))
+    })
+    this.#pools.set(record.address, { record, pool })
+    return pool
+  }
+
+  /** Closes connections to upstreams that are not in use any more, once they are idle. */
+  keepOnly (isInUse: (record: UpstreamRecord) => boolean): void {
+    for (const [address, { record, pool }] of this.#pools) {
+      if (isInUse(record)) continue
+      this.#pools.delete(address)
+      pool.close().catch(() => {})
+    }
+  }
+
+  /** Closes all connections at once. */
+  async destroy (): Promise<void> {
+    await Promise.all([...this.#pools.values()].map(({ pool }) => pool.destroy()))
+  }
+}
--- a/src/errors/errorTexts.ts
+++ b/src/errors/errorTexts.ts
@@ -33,6 +33,9 @@
   sheetDigestMismatch: (number: number) => `the content of sheet ${number} does not have the digest given`,
   spreadDigestMismatch: (number: number) => `the content received for sheet ${number} does not have its digest`,
 
+  // Following control hosts
+  feedNotOpen: () => 'this control host has just started and does not know enough yet',
+
   // Load runs
   scheduleMalformed: (line: string) => `expected <seconds>s [rate <factor>] [drain place <name> | drain upstream <ip:port>] [note], not ${line}`,
   drainWithoutOperators: () => 'a schedule with drains needs --operators and --token-file',
--- /dev/null
+++ b/src/guest/listEndToEndHeaders.ts
@@ -0,0 +1,18 @@
+import type { IncomingMessage } from 'node:http'
+import { isHopHeader } from '../relay/isHopHeader.js'
+import type { HeaderField } from '../relay/RelayedRequest.js'
+
+/**
+ * @param message - a guest's message
+ * @returns its headers but for those that concern one connection only, names in lower case
+ */
+export function listEndToEndHeaders (message: IncomingMessage): HeaderField[] {
+  const named = new Set((message.headers.connection ?? '').toLowerCase().split(',').map((name) => name.trim()))
+  const fields: HeaderField[] = []
+  for (let index = 0; index < message.rawHeaders.length; index += 2) {
+    const name = message.rawHeaders[index]!.toLowerCase()
+    if (isHopHeader(name) || named.has(name)) continue
+    fields.push({ name, value: message.rawHeaders[index + 1]! })
+  }
+  return fields
+}
--- a/src/guest/readGuestRequest.ts
+++ b/src/guest/readGuestRequest.ts
@@ -1,13 +1,13 @@
 import { randomUUID } from 'node:crypto'
 import type { IncomingMessage } from 'node:http'
 import { fingerprintRequest } from '../relay/fingerprintRequest.js'
-import { isHopHeader } from '../relay/isHopHeader.js'
-import type { HeaderField, RelayedRequest } from '../relay/RelayedRequest.js'
+import type { RelayedRequest } from '../relay/RelayedRequest.js'
 import type { LimitSettings, TimingSettings } from '../settings/Settings.js'
 import { readBody } from '../transport/readBody.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { RequestClass } from '../types/RequestClass.js'
 import type { Sheet } from '../types/Sheet.js'
+import { listEndToEndHeaders } from './listEndToEndHeaders.js'
 
 /** Path under which guests reach services. */
 export const SERVICES_PATH = '/v1/services/'
@@ -55,7 +55,7 @@
     service: target.service,
     method,
     path: target.path,
-    headers: listHeaders(message),
+    headers: listEndToEndHeaders(message).filter(({ name }) => name !== 'idempotency-key'),
     body,
     requestClass,
     key,
@@ -86,14 +86,3 @@
   const value = Number(header)
   return value >= 1 && value <= timings.maximumDeadlineMilliseconds ? value : undefined
 }
-
-function listHeaders (message: IncomingMessage): HeaderField[] {
-  const named = new Set((message.headers.connection ?? '').toLowerCase().split(',').map((name) => name.trim()))
-  const fields: HeaderField[] = []
-  for (let index = 0; index < message.rawHeaders.length; index += 2) {
-    const name = message.rawHeaders[index]!.toLowerCase()
-    if (isHopHeader(name) || named.has(name) || name === 'idempotency-key') continue
-    fields.push({ name, value: message.rawHeaders[index + 1]! })
-  }
-  return fields
-}
--- a/src/hibiscusrelay.ts
+++ b/src/hibiscusrelay.ts
@@ -91,6 +91,44 @@
 export { serveForwarded } from './relay/serveForwarded.js'
 export { SuspectRuns, type SuspectRunsOptions } from './relay/SuspectRuns.js'
 
+// Routing plans: routes, services and evacuations, agreed on like sheets.
+export { checkPlan } from './plan/checkPlan.js'
+export { pickTarget } from './plan/pickTarget.js'
+export { PlanEntryKind, type PlanEntry, type PlanSubmission } from './plan/PlanEntry.js'
+export { PlanProblem, type PlanFault } from './plan/PlanFault.js'
+export { PlanRegistry, type PlanAnswer, type PlanRegistryOptions } from './plan/PlanRegistry.js'
+export { PlanResult } from './plan/PlanResult.js'
+export { PlanState, type StoredPlanState } from './plan/PlanState.js'
+export { RouteTable } from './plan/RouteTable.js'
+export type { ListenerLimits, PlanRoute, PlanService, RouteTarget, RoutingPlan } from './plan/RoutingPlan.js'
+
+// Control hosts: replicas of plans, the registry of upstreams, and what they tell entry hosts.
+export { chooseRepair, RepairKind, type Repair } from './control/chooseRepair.js'
+export { ControlHostProcess, type ControlHostOptions, type ControlHostSettings } from './control/ControlHostProcess.js'
+export { ControlFollower, type ControlFollowerOptions } from './follow/ControlFollower.js'
+export type { FeedPosition, FollowReply, FollowRequest } from './follow/FollowMessages.js'
+export { KnownState } from './follow/KnownState.js'
+export { EntryHostTable } from './registry/EntryHostTable.js'
+export type { EntryHost } from './registry/EntryHost.js'
+export { AnnouncementResult, UpstreamRegistry } from './registry/UpstreamRegistry.js'
+export { UpstreamReadiness, type UpstreamRecord } from './registry/UpstreamRecord.js'
+export { UpstreamTable } from './registry/UpstreamTable.js'
+
+// Entry hosts that follow a routing plan, and their decisions.
+export { EntryHostProcess, type EntryHostOptions, type EntryHostSettings } from './entry/EntryHostProcess.js'
+export { EntryRelay, type EntryRelayOptions } from './entry/EntryRelay.js'
+export type { EntryRequest } from './entry/EntryRequest.js'
+export type { GuestFields } from './entry/GuestListener.js'
+export { AnswerKind, type UpstreamProtocol } from './entry/UpstreamProtocol.js'
+export { choosePlacement } from './placement/choosePlacement.js'
+export { chooseRetryAfter } from './placement/chooseRetryAfter.js'
+export { ColdShare } from './placement/ColdShare.js'
+export type { LoadReport } from './placement/LoadReport.js'
+export type { RankedCandidate } from './placement/RankedCandidate.js'
+export { RetryShare, type RetryBound } from './placement/RetryShare.js'
+export { UpstreamLoad } from './placement/UpstreamLoad.js'
+export type { ExchangeAnswer } from './relay/exchange.js'
+
 // Choice of entry hosts and of owners.
 export type { ChoiceExplanation, ExplainedPool } from './steering/ChoiceExplanation.js'
 export { choosePool, type PoolChoice } from './steering/choosePool.js'
@@ -132,6 +170,8 @@
 
 // Calls between hosts, and listeners.
 export type { CallPeer } from './transport/CallPeer.js'
+export { HostTransport, type HostTransportOptions } from './transport/HostTransport.js'
+export { readBody } from './transport/readBody.js'
 export { HttpListener, type HttpListenerOptions } from './transport/HttpListener.js'
 export { PeerClient } from './transport/PeerClient.js'
 export type { PeerHandler, RegisterPeerHandler } from './transport/PeerHandler.js'
@@ -139,6 +179,8 @@
 export { PeerSignature, type SignedParts } from './transport/PeerSignature.js'
 
 // Settings of a host.
+export { loadPlanHostSettings } from './settings/loadPlanHostSettings.js'
+export type { PlanHostSettings } from './settings/PlanHostSettings.js'
 export { loadSettings } from './settings/loadSettings.js'
 export type { LimitSettings, PeerSettings, Settings, TimingSettings } from './settings/Settings.js'
 
--- /dev/null
+++ b/src/placement/RankedCandidate.ts
@@ -0,0 +1,7 @@
+/** An upstream that may take a request. */
+export interface RankedCandidate {
+  /** Requests that it has, per slot, as far as this host knows. */
+  utilization: number
+  /** Whether it has just started, or forgotten what it held, and bears few requests. */
+  isCold: boolean
+}
--- /dev/null
+++ b/src/placement/RetryShare.ts
@@ -0,0 +1,63 @@
+/** Length of the window in which requests and retries are compared, in slices of a second. */
+const SLICE_MILLISECONDS = 1_000
+/** Part of the bound that hosts use: each counts by itself, and one that restarts forgets what it has spent. */
+const SAFETY_SHARE = 0.5
+
+/** The bound on retries that all hosts share. */
+export interface RetryBound {
+  /** Retries per request. */
+  ratio: number
+  /** Retries per window beside that, for all hosts together. */
+  allowance: number
+  windowMilliseconds: number
+}
+
+interface Slice {
+  startedAt: number
+  requests: number
+  retries: number
+}
+
+/**
+ * One host's share of the retries of one service, so that the shares of all hosts add up to the bound whoever is
+ * cut off from whom.
+ */
+export class RetryShare {
+  readonly #bound: RetryBound
+  readonly #slices: Slice[] = []
+
+  /** @param bound - the bound for all hosts together */
+  constructor (bound: RetryBound) {
+    this.#bound = bound
+  }
+
+  /** Notes a request of a guest. */
+  noteRequest (now: number): void {
+    this.#slice(now).requests += 1
+  }
+
+  /**
+   * @param now - on the clock of `performance.now()`
+   * @param entryHosts - entry hosts of the system
+   * @returns whether one more retry is within this host's share; if so, it is spent
+   */
+  trySpend (now: number, entryHosts: number): boolean {
+    const slice = this.#slice(now)
+    const { ratio, allowance } = this.#bound
+    const requests = this.#slices.reduce((sum, each) => sum + each.requests, 0)
+    const retries = this.#slices.reduce((sum, each) => sum + each.retries, 0)
+    if (retries + 1 > SAFETY_SHARE * (ratio * requests + allowance / Math.max(1, entryHosts))) return false
+    slice.retries += 1
+    return true
+  }
+
+  #slice (now: number): Slice {
+    const oldest = now - this.#bound.windowMilliseconds - SLICE_MILLISECONDS
+    while (this.#slices[0] !== undefined && this.#slices[0].startedAt < oldest) this.#slices.shift()
+    const last = this.#slices[this.#slices.length - 1]
+    if (last !== undefined && now - last.startedAt < SLICE_MILLISECONDS) return last
+    const slice = { startedAt: now, requests: 0, retries: 0 }
+    this.#slices.push(slice)
+    return slice
+  }
+}
--- /dev/null
+++ b/src/plan/PlanState.ts
@@ -0,0 +1,90 @@
+import { PlanEntryKind, type PlanEntry, type PlanSubmission } from './PlanEntry.js'
+import { PlanResult } from './PlanResult.js'
+import type { RoutingPlan } from './RoutingPlan.js'
+
+/** Accepted submissions that are remembered, so that one sent again is acknowledged again. A day has some hundreds. */
+const REMEMBERED_SUBMISSIONS = 10_000
+
+/** What is durable of plans and evacuations. */
+export interface StoredPlanState {
+  current?: PlanSubmission
+  accepted: string[]
+  evacuated: string[]
+  evacuationRevision: number
+}
+
+/** Plans and evacuations, as every replica derives them from the log. */
+export class PlanState {
+  #current: PlanSubmission | undefined
+  #accepted = new Set<string>()
+  #evacuated = new Set<string>()
+  #evacuationRevision = 0
+
+  /** The plan in force with its document. */
+  get current (): PlanSubmission | undefined {
+    return this.#current
+  }
+
+  get plan (): RoutingPlan | undefined {
+    return this.#current?.plan
+  }
+
+  /** Failure domains whose upstreams get no new work. */
+  get evacuated (): string[] {
+    return [...this.#evacuated]
+  }
+
+  /** Rises with each change of the evacuations. */
+  get evacuationRevision (): number {
+    return this.#evacuationRevision
+  }
+
+  /**
+   * Applies a committed entry.
+   *
+   * @param entry - the entry
+   * @param index - its position in the log
+   */
+  apply (entry: PlanEntry, index: number): PlanResult {
+    if (entry.kind === PlanEntryKind.Submit) return this.#submit(entry.submission)
+    if (entry.kind === PlanEntryKind.Barrier) return PlanResult.Accepted
+    this.#setEvacuated(entry.domain, entry.kind === PlanEntryKind.Evacuate, index)
+    return PlanResult.Accepted
+  }
+
+  snapshot (): StoredPlanState {
+    const { current, evacuated, evacuationRevision } = this
+    return { current, accepted: [...this.#accepted], evacuated, evacuationRevision }
+  }
+
+  /** @param stored - result of {@link snapshot}, undefined before the first entry */
+  restore (stored: StoredPlanState | undefined): void {
+    this.#current = stored?.current
+    this.#accepted = new Set(stored?.accepted)
+    this.#evacuated = new Set(stored?.evacuated)
+    this.#evacuationRevision = stored?.evacuationRevision ?? 0
+  }
+
+  #submit (submission: PlanSubmission): PlanResult {
+    if (this.#accepted.has(submission.digest)) return PlanResult.Accepted
+    const version = this.#current?.plan.version ?? 0
+    if (submission.baseVersion !== version) return PlanResult.OtherBase
+    if (submission.plan.version <= version) return PlanResult.OldVersion
+    this.#current = submission
+    this.#remember(submission.digest)
+    return PlanResult.Accepted
+  }
+
+  #remember (digest: string): void {
+    this.#accepted.add(digest)
+    if (this.#accepted.size <= REMEMBERED_SUBMISSIONS) return
+    const [oldest] = this.#accepted
+    this.#accepted.delete(oldest!)
+  }
+
+  #setEvacuated (domain: string, evacuated: boolean, index: number): void {
+    if (evacuated) this.#evacuated.add(domain)
+    else this.#evacuated.delete(domain)
+    this.#evacuationRevision = index
+  }
+}
--- /dev/null
+++ b/src/plan/RouteTable.ts
@@ -0,0 +1,26 @@
+import type { PlanRoute, RoutingPlan } from './RoutingPlan.js'
+
+/** Finds the route of a request. */
+export class RouteTable {
+  /** Routes by host name, longest prefix first. */
+  readonly #routes = new Map<string, PlanRoute[]>()
+
+  /** @param plan - the plan in force */
+  constructor (plan: RoutingPlan) {
+    for (const route of plan.routes) {
+      const routes = this.#routes.get(route.host)
+      if (routes === undefined) this.#routes.set(route.host, [route])
+      else routes.push(route)
+    }
+    for (const routes of this.#routes.values()) routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
+  }
+
+  /**
+   * @param host - the host name asked for, without a port
+   * @param path - the path, with or without a query
+   * @returns the route with the longest fitting prefix, undefined when none fits
+   */
+  find (host: string, path: string): PlanRoute | undefined {
+    return this.#routes.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix))
+  }
+}
--- /dev/null
+++ b/src/registry/EntryHost.ts
@@ -0,0 +1,10 @@
+/** What an entry host says of itself. */
+export interface EntryHost {
+  name: string
+  domain: string
+  region: string
+  /** Where guests connect, `ip:port`. */
+  guestAddress: string
+  /** Whether it takes new connections. */
+  isReady: boolean
+}
--- /dev/null
+++ b/src/registry/RegistrySharer.ts
@@ -0,0 +1,158 @@
+import type { Log } from '../observe/Log.js'
+import type { CallPeer } from '../transport/CallPeer.js'
+import type { RegisterPeerHandler } from '../transport/PeerHandler.js'
+import { PeerMethod } from '../types/PeerMethod.js'
+import { Step } from '../types/Step.js'
+import { pause } from '../utils/pause.js'
+import type { EntryHostTable } from './EntryHostTable.js'
+import { PeerOutbox } from './PeerOutbox.js'
+import type { ControlHost } from './ControlHost.js'
+import type { ShareRegistryReply, ShareRegistryRequest } from './RegistryMessages.js'
+import type { UpstreamEntry } from './UpstreamEntry.js'
+import type { UpstreamRecord } from './UpstreamRecord.js'
+import type { UpstreamTable } from './UpstreamTable.js'
+
+/** What a registry sharer works with. */
+export interface RegistrySharerOptions {
+  upstreams: UpstreamTable
+  entryHosts: EntryHostTable
+  callPeer: CallPeer
+  registerHandler: RegisterPeerHandler
+  /** @returns peer addresses of the other control hosts */
+  listPeers: () => string[]
+  /** @returns peer addresses of the other voting members of the replica group */
+  listVoters: () => string[]
+  /** @returns how many voting members are a majority, this one included */
+  majority: () => number
+  /** Tells whether an entry host reports to this control host itself; only those are told on. */
+  isOwnReport: (name: string) => boolean
+  /** This control host, as the others should know it. */
+  describeSelf: () => ControlHost
+  onControlHost: (host: ControlHost) => void
+  /** Called when something changed that followers need to know. */
+  onChange: () => void
+  log: Log
+}
+
+/** Period of the messages that only say who was heard; several fit into the silence that counts as a loss. */
+const SHARE_MILLISECONDS = 500
+/** Wait for the whole registry of another control host. */
+const FETCH_MILLISECONDS = 1_000
+/** Entry hosts heard by this host within so long are told to the others. */
+const ENTRY_HOST_AGE_MILLISECONDS = 1_200
+
+/** Spreads what one control host hears of upstreams and entry hosts to the others. */
+export class RegistrySharer {
+  readonly #options: RegistrySharerOptions
+  readonly #outboxes = new Map<string, PeerOutbox>()
+  #running = false
+
+  /** @param options - tables and peers */
+  constructor (options: RegistrySharerOptions) {
+    this.#options = options
+    options.registerHandler(PeerMethod.ShareRegistry, (request: ShareRegistryRequest) => this.#receive(request))
+    options.registerHandler(PeerMethod.FetchRegistry, () => this.#describeAll())
+  }
+
+  /** Runs until {@link stop}. */
+  async run (): Promise<void> {
+    this.#running = true
+    while (this.#running) {
+      for (const address of this.#options.listPeers()) this.#outboxOf(address).flush()
+      const lost = this.#options.upstreams.sweep()
+      for (const id of lost) this.#options.log.warn('upstream-silent', { step: Step.Registry, peer: id })
+      if (lost.length > 0) this.#options.onChange()
+      await pause(SHARE_MILLISECONDS)
+    }
+  }
+
+  stop (): void {
+    this.#running = false
+  }
+
+  /** Takes over what the other control hosts know: a host that starts would take a late announcement for a new upstream. */
+  async fetchFromPeers (): Promise<void> {
+    const { callPeer, log } = this.#options
+    await Promise.all(this.#options.listPeers().map(async (address) => {
+      try {
+        this.#receive(await callPeer<ShareRegistryRequest>(address, PeerMethod.FetchRegistry, {}, FETCH_MILLISECONDS))
+      } catch (error) {
+        log.warn('registry-not-fetched', { step: Step.Registry, peer: address, cause: String(error) })
+      }
+    }))
+  }
+
+  /** Tells the others, with the next message, that an upstream was heard. */
+  noteHeard (record: UpstreamRecord): void {
+    for (const address of this.#options.listPeers()) this.#outboxOf(address).addHeard(record)
+  }
+
+  /** Tells the others of a changed record at once; each is told until it has answered. */
+  noteChange (record: UpstreamRecord): void {
+    this.shareWithMajority(record).catch(() => {})
+  }
+
+  /**
+   * Tells the others of a record until a majority holds it.
+   *
+   * @param record - the record
+   * @returns whether a majority of control hosts holds it in time
+   */
+  async shareWithMajority (record: UpstreamRecord): Promise<boolean> {
+    const needed = this.#options.majority() - 1
+    if (needed <= 0) return true
+    const voters = this.#options.listVoters()
+    for (const address of this.#options.listPeers()) if (!voters.includes(address)) this.#outboxOf(address).send(record).catch(() => {})
+    const calls = voters.map((address) => this.#outboxOf(address).send(record))
+    return await new Promise((resolve) => {
+      let held = 0
+      for (const call of calls) call.then(() => { if (++held === needed) resolve(true) }, () => {})
+      Promise.allSettled(calls).then(() => { resolve(held >= needed) }, () => {})
+    })
+  }
+
+  #outboxOf (address: string): PeerOutbox {
+    const known = this.#outboxes.get(address)
+    if (known !== undefined) return known
+    const { callPeer, upstreams, entryHosts, isOwnReport } = this.#options
+    const outbox = new PeerOutbox({
+      describeSelf: this.#options.describeSelf,
+      call: (request, timeoutMilliseconds) => callPeer<ShareRegistryReply>(address, PeerMethod.ShareRegistry, request, timeoutMilliseconds),
+      findRecord: (id) => findRecord(upstreams, id),
+      listEntryHosts: () => entryHosts.listWithAge(ENTRY_HOST_AGE_MILLISECONDS).filter(({ host }) => isOwnReport(host.name))
+    })
+    this.#outboxes.set(address, outbox)
+    return outbox
+  }
+
+  #describeAll (): ShareRegistryRequest {
+    const now = performance.now()
+    const records = this.#options.upstreams.list().map((entry) => {
+      const ageMilliseconds = Math.round(now - entry.heardAt)
+      const record = refreshCold(entry)
+      return { record: { ...record, coldMilliseconds: record.coldMilliseconds + ageMilliseconds }, ageMilliseconds }
+    })
+    return { sender: this.#options.describeSelf(), records, heard: [], entryHosts: this.#options.entryHosts.listWithAge(ENTRY_HOST_AGE_MILLISECONDS) }
+  }
+
+  #receive ({ sender, records, heard, entryHosts }: ShareRegistryRequest): ShareRegistryReply {
+    const { upstreams, onChange, onControlHost } = this.#options
+    onControlHost(sender)
+    const before = upstreams.revision
+    for (const { record, ageMilliseconds } of records) upstreams.merge(record, ageMilliseconds)
+    const unknown = heard.filter((row) => !upstreams.hear(...row)).map(([id]) => id)
+    for (const { host, ageMilliseconds } of entryHosts) this.#options.entryHosts.hear(host, ageMilliseconds)
+    if (upstreams.revision !== before) onChange()
+    return { unknown }
+  }
+}
+
+function findRecord (upstreams: UpstreamTable, id: string): UpstreamRecord | undefined {
+  const entry = upstreams.get(id)
+  return entry === undefined ? undefined : refreshCold(entry)
+}
+
+/** @returns the record with what is left of the cold phase now */
+function refreshCold ({ record, coldUntil }: UpstreamEntry): UpstreamRecord {
+  return { ...record, coldMilliseconds: Math.max(0, Math.round(coldUntil - performance.now())) }
+}
--- /dev/null
+++ b/src/registry/UpstreamRegistry.ts
@@ -0,0 +1,78 @@
+import type { Log } from '../observe/Log.js'
+import { Step } from '../types/Step.js'
+import type { RegistrySharer } from './RegistrySharer.js'
+import { UpstreamReadiness, type UpstreamRecord } from './UpstreamRecord.js'
+import type { UpstreamTable } from './UpstreamTable.js'
+
+/** What a control host answers an upstream. */
+export enum AnnouncementResult {
+  Accepted = 'accepted',
+  /** It names a service that the plan does not know. */
+  UnknownService = 'unknown-service',
+  /** Too few control hosts hold it; sending it again, to any, is safe. */
+  NotHeld = 'not-held'
+}
+
+/** What an upstream registry works with. */
+export interface UpstreamRegistryOptions {
+  upstreams: UpstreamTable
+  sharer: RegistrySharer
+  /** Whether a service is known; also true while no plan is. */
+  isKnownService: (service: string) => boolean
+  onChange: () => void
+  log: Log
+}
+
+/** Takes announcements of upstreams. That one leaves is acknowledged only when a majority of control hosts knows. */
+export class UpstreamRegistry {
+  readonly #options: UpstreamRegistryOptions
+
+  /** @param options - the table, and how the others are told */
+  constructor (options: UpstreamRegistryOptions) {
+    this.#options = options
+  }
+
+  /** Takes in what an upstream says of itself. */
+  async announce (record: UpstreamRecord): Promise<AnnouncementResult> {
+    const { upstreams, sharer, isKnownService } = this.#options
+    if (!isKnownService(record.service)) return AnnouncementResult.UnknownService
+    const changed = upstreams.merge(record)
+    if (changed) this.#noteChange(record)
+    if (record.readiness === UpstreamReadiness.Draining) return await this.#holdAtMajority(record)
+    if (changed) sharer.noteChange(record)
+    else sharer.noteHeard(record)
+    return AnnouncementResult.Accepted
+  }
+
+  /**
+   * Takes in that an upstream leaves for good.
+   *
+   * @param id - the upstream
+   * @param bornAt - its start, if it said so
+   */
+  async remove (id: string, bornAt: number | undefined): Promise<AnnouncementResult> {
+    const { upstreams } = this.#options
+    const known = upstreams.get(id)?.record
+    const birth = bornAt ?? known?.bornAt
+    if (birth === undefined) return AnnouncementResult.NotHeld
+    const record = { ...known ?? describeUnknown(id), bornAt: birth, readiness: UpstreamReadiness.Gone }
+    if (upstreams.merge(record)) this.#noteChange(record)
+    return await this.#holdAtMajority(record)
+  }
+
+  async #holdAtMajority (record: UpstreamRecord): Promise<AnnouncementResult> {
+    const held = await this.#options.sharer.shareWithMajority(record)
+    if (held) return AnnouncementResult.Accepted
+    this.#options.log.warn('upstream-change-not-held', { step: Step.Registry, peer: record.address, upstream: record.id, readiness: record.readiness })
+    return AnnouncementResult.NotHeld
+  }
+
+  #noteChange ({ id, address, service, readiness, sequence, bornAt, coldMilliseconds }: UpstreamRecord): void {
+    this.#options.onChange()
+    this.#options.log.info('upstream-changed', { step: Step.Registry, peer: address, upstream: id, service, readiness, sequence, born: bornAt, cold: coldMilliseconds })
+  }
+}
+
+function describeUnknown (id: string): UpstreamRecord {
+  return { id, bornAt: 0, sequence: 0, service: '', address: '', domain: '', slots: 0, readiness: UpstreamReadiness.Gone, coldMilliseconds: 0 }
+}
--- /dev/null
+++ b/src/settings/loadPlanHostSettings.ts
@@ -0,0 +1,73 @@
+import { readFileSync } from 'node:fs'
+import { parse } from 'ini'
+import { z } from 'zod'
+import { SettingsError, type SettingsFault } from '../errors/SettingsError.js'
+import { splitAddress } from '../utils/splitAddress.js'
+import { describeIssue } from './describeIssue.js'
+import type { PlanHostSettings } from './PlanHostSettings.js'
+
+const NAME = z.string().min(1, 'allowed: a name')
+const ADDRESS = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'allowed: an IP number and a port, as 127.0.0.1:7100')
+const OPTIONAL_ADDRESS = z.union([z.literal('').transform(() => undefined), ADDRESS]).optional()
+const PORT = z.string().regex(/^\d{1,5}$/, 'allowed: a port number').transform(Number)
+const ADDRESSES = z.string().transform((text) => text.split(',').map((part) => part.trim()).filter((part) => part !== ''))
+  .pipe(z.array(ADDRESS).min(1, 'allowed: one address or more, separated by commas'))
+const YES_OR_NO = z.union([z.boolean(), z.enum(['true', 'false'])], 'allowed: true or false').transform((value) => value === true || value === 'true')
+
+function amount (fallback: number) {
+  return z.string().regex(/^\d+(\.\d+)?$/, 'allowed: a number').transform(Number).default(fallback)
+}
+
+const schema = z.object({
+  host: z.object({ name: NAME, 'failure-domain': NAME, region: NAME, 'data-folder': z.string().optional() }),
+  listen: z.object({
+    'peer-address': ADDRESS,
+    'guest-address': OPTIONAL_ADDRESS,
+    'readiness-address': OPTIONAL_ADDRESS,
+    'control-address': OPTIONAL_ADDRESS,
+    'directory-address': OPTIONAL_ADDRESS
+  }),
+  control: z.object({ 'seed-addresses': ADDRESSES, 'peer-port': PORT, 'first-start': YES_OR_NO.default(false), 'announcement-seconds': amount(1.5) }),
+  limits: z.object({ 'stop-seconds': amount(6), 'retry-ratio': amount(0.2), 'retry-allowance': amount(10), 'retry-window-seconds': amount(10) }).prefault({}),
+  regions: z.record(z.string(), z.string()).default({})
+})
+
+/**
+ * Reads and checks the settings of a host that follows a routing plan.
+ *
+ * @param file - path of the settings file
+ * @returns the checked settings
+ * @throws {@link SettingsError} with every fault found
+ */
+export function loadPlanHostSettings (file: string): PlanHostSettings {
+  const checked = schema.safeParse(parse(readText(file)))
+  if (!checked.success) throw new SettingsError(file, checked.error.issues.map((issue) => describeIssue(file, issue.path, issue.message)))
+  const { host, listen, control, limits, regions } = checked.data
+  return {
+    name: host.name,
+    domain: host['failure-domain'],
+    region: host.region,
+    dataFolder: host['data-folder'] === '' ? undefined : host['data-folder'],
+    peerAddress: listen['peer-address'],
+    guestAddress: listen['guest-address'],
+    readinessAddress: listen['readiness-address'],
+    controlAddress: listen['control-address'],
+    directoryAddress: listen['directory-address'],
+    seeds: control['seed-addresses'].map((address) => `${splitAddress(address).host}:${control['peer-port']}`).sort(),
+    isFirstStart: control['first-start'],
+    announcementMilliseconds: control['announcement-seconds'] * 1000,
+    stopMilliseconds: limits['stop-seconds'] * 1000,
+    retryBound: { ratio: limits['retry-ratio'], allowance: limits['retry-allowance'], windowMilliseconds: limits['retry-window-seconds'] * 1000 },
+    regions: new Map(Object.entries(regions))
+  }
+}
+
+function readText (file: string): string {
+  try {
+    return readFileSync(file, 'utf8')
+  } catch (error) {
+    const problem = `cannot read ${file}: ${(error as NodeJS.ErrnoException).code ?? String(error)}`
+    const fault: SettingsFault = { file, section: '', key: '', problem }
+    throw new SettingsError(file, [fault])
+  }
+}
--- a/src/settings/loadSettings.ts
+++ b/src/settings/loadSettings.ts
@@ -3,6 +3,7 @@
 import { parse } from 'ini'
 import { SettingsError, type SettingsFault } from '../errors/SettingsError.js'
 import { buildSettings } from './buildSettings.js'
+import { describeIssue } from './describeIssue.js'
 import { parseOperatorTokens } from './parseOperatorTokens.js'
 import type { Secrets } from './Secrets.js'
 import type { Settings } from './Settings.js'
@@ -55,10 +56,3 @@
     return undefined
   }
 }
-
-function describeIssue (file: string, path: PropertyKey[], message: string): SettingsFault {
-  const names = path.map(String)
-  const key = names.length > 1 ? names[names.length - 1]! : ''
-  const section = names.length > 1 ? names.slice(0, -1).join('.') : names.join('.')
-  return { file, section, key, problem: message }
-}
--- a/src/daemon/HostTransport.ts
+++ b/src/transport/HostTransport.ts
@@ -1,8 +1,25 @@
-import { HttpListener, PeerClient, PeerConnections, PeerServer, PeerSignature, type CallPeer, type Counters, type RegisterPeerHandler, type Settings } from '../hibiscusrelay.js'
+import type { Counters } from '../observe/Counters.js'
+import { PeerConnections } from '../relay/PeerConnections.js'
+import type { CallPeer } from './CallPeer.js'
+import { HttpListener } from './HttpListener.js'
+import { PeerClient } from './PeerClient.js'
+import type { RegisterPeerHandler } from './PeerHandler.js'
+import { PeerServer } from './PeerServer.js'
+import { PeerSignature } from './PeerSignature.js'
 
 const REST_MILLISECONDS = 500
 const PEER_HEADER_BYTES = 131_072
 
+/** What the calls between hosts need. */
+export interface HostTransportOptions {
+  /** Own address for peer calls, `ip:port`. */
+  peerAddress: string
+  /** The key that all hosts share. */
+  peerKey: string
+  /** Gives the address to connect to for a peer's address. */
+  dialAddress: (address: string) => string
+}
+
 /** The host's side of the calls between hosts. */
 export class HostTransport {
   readonly signature: PeerSignature
@@ -14,18 +31,16 @@
   readonly #client: PeerClient
 
   /**
-   * @param settings - addresses and key
+   * @param options - addresses and key
    * @param counters - counts refusals
    */
-  constructor (settings: Settings, counters: Counters) {
-    const dialAddresses = new Map(settings.peers.map((peer) => [peer.peerAddress, peer.dialAddress]))
-    const dialAddress = (address: string): string => dialAddresses.get(address) ?? address
-    this.signature = new PeerSignature(settings.peerKey)
+  constructor ({ peerAddress, peerKey, dialAddress }: HostTransportOptions, counters: Counters) {
+    this.signature = new PeerSignature(peerKey)
     this.connections = new PeerConnections(dialAddress)
     this.server = new PeerServer(this.signature, counters)
-    this.#client = new PeerClient(this.signature, dialAddress, { address: settings.host.peerAddress, handlerOf: (method) => this.server.handlerOf(method) })
+    this.#client = new PeerClient(this.signature, dialAddress, { address: peerAddress, handlerOf: (method) => this.server.handlerOf(method) })
     this.listener = new HttpListener({
-      address: settings.host.peerAddress,
+      address: peerAddress,
       headerBytes: PEER_HEADER_BYTES,
       handle: (request, response) => this.server.handle(request, response),
       onMalformed: (status) => `HTTP/1.1 ${status} Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`
--- a/src/transport/HttpListener.ts
+++ b/src/transport/HttpListener.ts
@@ -45,6 +45,15 @@
     return this.#inFlight
   }
 
+  /**
+   * Sets how long connections without a request stay open, for those that become idle from now on.
+   *
+   * @param milliseconds - the time
+   */
+  setIdleTimeout (milliseconds: number): void {
+    this.#server.keepAliveTimeout = milliseconds
+  }
+
   /** Starts listening. */
   async open (): Promise<void> {
     const { host, port } = splitAddress(this.#options.address)
--- a/src/types/PeerMethod.ts
+++ b/src/types/PeerMethod.ts
@@ -23,5 +23,8 @@
   PoisonReport = 'relay.poison-report',
   SuspectPermit = 'relay.suspect-permit',
   LedgerOpen = 'ledger.open',
-  LeasePromise = 'limits.lease-promise'
+  LeasePromise = 'limits.lease-promise',
+  Follow = 'control.follow',
+  ShareRegistry = 'control.share-registry',
+  FetchRegistry = 'control.fetch-registry'
 }
--- a/src/types/RefusalReason.ts
+++ b/src/types/RefusalReason.ts
@@ -11,6 +11,7 @@
   HeadersTooLarge = 'headers-too-large',
   Unauthorized = 'unauthorized',
   NoSheet = 'no-sheet',
+  NoPlan = 'no-plan',
   NoUpstream = 'no-upstream',
   NoHost = 'no-host',
   QueueFull = 'queue-full',
