--- /dev/null
+++ b/__tests__/plan/PlanState.test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { PlanEntryKind } from '../../src/plan/PlanEntry.js'
+import { PlanResult } from '../../src/plan/PlanResult.js'
+import { PlanState } from '../../src/plan/PlanState.js'
+import { submissionOf } from './planOf.js'
+
+function submit (state: PlanState, version: number, base: number, mark = ''): PlanResult {
+  return state.apply({ kind: PlanEntryKind.Submit, submission: submissionOf(version, base, mark) }, version)
+}
+
+test('of two plans on one version the first wins, and the other is never in force', () => {
+  const state = new PlanState()
+  assert.equal(submit(state, 2, 0), PlanResult.Accepted)
+  assert.equal(submit(state, 5, 2, 'a'), PlanResult.Accepted)
+  assert.equal(submit(state, 5, 2, 'b'), PlanResult.OtherBase)
+  assert.equal(state.current?.document, 'document 5 a')
+})
+
+test('an accepted plan sent again is accepted again, also after newer ones', () => {
+  const state = new PlanState()
+  submit(state, 2, 0)
+  submit(state, 4, 2)
+  assert.equal(submit(state, 2, 0), PlanResult.Accepted)
+  assert.equal(state.plan?.version, 4)
+})
+
+test('a version that does not rise is refused', () => {
+  const state = new PlanState()
+  submit(state, 4, 0)
+  assert.equal(submit(state, 4, 4, 'same'), PlanResult.OldVersion)
+  assert.equal(submit(state, 3, 4), PlanResult.OldVersion)
+})
+
+test('a restored state knows plan, accepted submissions and evacuations', () => {
+  const state = new PlanState()
+  submit(state, 2, 0)
+  submit(state, 4, 2)
+  state.apply({ kind: PlanEntryKind.Evacuate, domain: 'gijon' }, 7)
+  const restored = new PlanState()
+  restored.restore(JSON.parse(JSON.stringify(state.snapshot())))
+  assert.equal(submit(restored, 2, 0), PlanResult.Accepted)
+  assert.equal(restored.plan?.version, 4)
+  assert.deepEqual(restored.evacuated, ['gijon'])
+  assert.equal(restored.evacuationRevision, 7)
+})
+
+test('an evacuation ends with the return of its domain', () => {
+  const state = new PlanState()
+  state.apply({ kind: PlanEntryKind.Evacuate, domain: 'gijon' }, 1)
+  state.apply({ kind: PlanEntryKind.Evacuate, domain: 'oviedo' }, 2)
+  state.apply({ kind: PlanEntryKind.Return, domain: 'gijon' }, 3)
+  assert.deepEqual(state.evacuated, ['oviedo'])
+})
--- /dev/null
+++ b/__tests__/plan/checkPlan.test.ts
@@ -0,0 +1,38 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { checkPlan } from '../../src/plan/checkPlan.js'
+import { PlanProblem } from '../../src/plan/PlanFault.js'
+import type { PlanRoute } from '../../src/plan/RoutingPlan.js'
+import { planOf, routeOf } from './planOf.js'
+
+const faultyRoutes: Array<[problem: PlanProblem, part: Partial<PlanRoute>]> = [
+  [PlanProblem.UnknownService, { targets: [{ service: 'nowhere', weight: 1 }] }],
+  [PlanProblem.NegativeWeight, { targets: [{ service: 'inventario', weight: 1 }, { service: 'inventario', weight: -1 }] }],
+  [PlanProblem.NoWeight, { targets: [{ service: 'inventario', weight: 0 }] }],
+  [PlanProblem.NoAttempts, { mostAttempts: 0 }],
+  [PlanProblem.BadPrefix, { pathPrefix: 'lookups/' }],
+  [PlanProblem.BadPrefix, { pathPrefix: '/lookups' }],
+  [PlanProblem.BadTimeout, { timeoutMilliseconds: 0 }]
+]
+
+test('a plan without faults passes', () => {
+  assert.deepEqual(checkPlan(planOf(1)), [])
+})
+
+for (const [problem, part] of faultyRoutes) {
+  test(`a route with ${problem} (${JSON.stringify(part)}) is named with its fault`, () => {
+    const faults = checkPlan(planOf(1, [routeOf(), routeOf({ name: 'faulty', pathPrefix: '/other/', ...part })]))
+    assert.deepEqual(faults.map((fault) => [fault.problem, fault.name]), [[problem, 'faulty']])
+  })
+}
+
+test('two routes of one host and prefix are a fault, two hosts with one prefix are none', () => {
+  const twice = [routeOf(), routeOf({ name: 'again' })]
+  assert.deepEqual(checkPlan(planOf(1, twice)).map(({ problem }) => problem), [PlanProblem.DuplicateRoute])
+  assert.deepEqual(checkPlan(planOf(1, [routeOf(), routeOf({ name: 'other', host: 'other.example' })])), [])
+})
+
+test('all faults are told at once', () => {
+  const faults = checkPlan(planOf(1, [routeOf({ mostAttempts: 0, pathPrefix: 'x' }), routeOf({ name: 'b', targets: [] })]))
+  assert.deepEqual(faults.map(({ problem }) => problem).sort(), [PlanProblem.BadPrefix, PlanProblem.NoAttempts, PlanProblem.NoWeight].sort())
+})
--- /dev/null
+++ b/__tests__/registry/UpstreamTable.test.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict'
+import { test, type TestContext } from 'node:test'
+import { UpstreamReadiness } from '../../src/registry/UpstreamRecord.js'
+import { UpstreamTable } from '../../src/registry/UpstreamTable.js'
+import { advance, pauseClock } from '../support/pauseClock.js'
+import { recordOf } from './recordOf.js'
+
+const LOST_MILLISECONDS = 4_500
+
+function tableOf (context: TestContext): UpstreamTable {
+  pauseClock(context)
+  return new UpstreamTable({ lostMilliseconds: LOST_MILLISECONDS })
+}
+
+test('a late announcement does not undo a newer one', (context) => {
+  const table = tableOf(context)
+  table.merge(recordOf({ sequence: 7, readiness: UpstreamReadiness.Draining }))
+  assert.equal(table.merge(recordOf({ sequence: 6 })), false)
+  assert.equal(table.get('i-1')?.record.readiness, UpstreamReadiness.Draining)
+})
+
+test('a goodbye outlives later announcements of the same start, not a new start', (context) => {
+  const table = tableOf(context)
+  table.merge(recordOf({ sequence: 3 }))
+  table.remove('i-1')
+  table.merge(recordOf({ sequence: 9 }))
+  assert.equal(table.get('i-1')?.record.readiness, UpstreamReadiness.Gone)
+  table.merge(recordOf({ bornAt: 2_000, sequence: 1 }))
+  assert.equal(table.get('i-1')?.record.readiness, UpstreamReadiness.Ready)
+})
+
+test('an address taken over by a later start belongs to that one only', (context) => {
+  const table = tableOf(context)
+  table.merge(recordOf())
+  table.merge(recordOf({ id: 'i-2', bornAt: 5_000, service: 'reservas' }))
+  assert.equal(table.get('i-1')?.record.readiness, UpstreamReadiness.Gone)
+  assert.equal(table.merge(recordOf({ id: 'i-3', bornAt: 4_000 })), false)
+  assert.equal(table.get('i-3'), undefined)
+})
+
+test('tables that hear the same records in another order agree', (context) => {
+  const records = [recordOf(), recordOf({ sequence: 2, readiness: UpstreamReadiness.Draining }), recordOf({ bornAt: 3_000 }), recordOf({ id: 'i-2', bornAt: 2_000 })]
+  pauseClock(context)
+  const states = [records, [...records].reverse()].map((order) => {
+    const table = new UpstreamTable({ lostMilliseconds: LOST_MILLISECONDS })
+    for (const record of order) table.merge(record)
+    return table.list().map(({ record }) => [record.id, record.bornAt, record.sequence, record.readiness])
+      .filter(([, , , readiness]) => readiness === UpstreamReadiness.Ready)
+  })
+  assert.deepEqual(states[0], states[1])
+})
+
+test('only changes that matter to followers raise the revision', (context) => {
+  const table = tableOf(context)
+  table.merge(recordOf())
+  const { revision } = table
+  table.merge(recordOf({ sequence: 2 }))
+  table.hear('i-1', 1_000, 3, 0)
+  assert.equal(table.revision, revision)
+  table.merge(recordOf({ sequence: 4, coldMilliseconds: 3_000 }))
+  assert.equal(table.revision, revision + 1)
+  assert.deepEqual(table.changedSince(revision).map(({ record }) => record.id), ['i-1'])
+})
+
+test('an upstream that was silent for long is lost until it is heard again', async (context) => {
+  const table = tableOf(context)
+  table.merge(recordOf())
+  await advance(context, LOST_MILLISECONDS)
+  assert.deepEqual(table.sweep(), [])
+  await advance(context, 1)
+  assert.deepEqual(table.sweep(), ['i-1'])
+  assert.deepEqual(table.sweep(), [])
+  table.merge(recordOf({ sequence: 2 }))
+  assert.equal(table.get('i-1')?.isLost, false)
+})
+
+test('what is not known by start needs its whole record', (context) => {
+  const table = tableOf(context)
+  assert.equal(table.hear('i-1', 1_000, 1, 0), false)
+  table.merge(recordOf())
+  assert.equal(table.hear('i-1', 1_000, 2, 0), true)
+  assert.equal(table.hear('i-1', 2_000, 1, 0), false)
+})
--- /dev/null
+++ b/__tests__/registry/recordOf.ts
@@ -0,0 +1,17 @@
+import { UpstreamReadiness, type UpstreamRecord } from '../../src/registry/UpstreamRecord.js'
+
+/** @returns a record with the parts that a test names */
+export function recordOf (part: Partial<UpstreamRecord> = {}): UpstreamRecord {
+  return {
+    id: 'i-1',
+    bornAt: 1_000,
+    sequence: 1,
+    service: 'inventario',
+    address: '127.0.0.9:8080',
+    domain: 'oviedo',
+    slots: 4,
+    readiness: UpstreamReadiness.Ready,
+    coldMilliseconds: 0,
+    ...part
+  }
+}
--- a/__tests__/relay/exchange.test.ts
+++ b/__tests__/relay/exchange.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { Pool } from 'undici'
+import { buildConnector, Pool } from 'undici'
 import { ExchangeError, ExchangeFailure } from '../../src/errors/ExchangeError.js'
 import { exchange, type ExchangeAnswer, type ExchangeRequest } from '../../src/relay/exchange.js'
+import { failResets } from '../../src/relay/failResets.js'
 import { openRawServer } from '../support/rawServer.js'
 
 const BODY = 'x'.repeat(100)
@@ -116,3 +117,18 @@
   assert.ok(!(result instanceof ExchangeError) && !Buffer.isBuffer(result.body))
   await assert.rejects(async () => { for await (const chunk of result.body) assert.ok(chunk) })
 })
+
+for (const framing of ['connection: close', 'connection: close\r\ntransfer-encoding: chunked']) {
+  test(`an answer with ${framing.replace('\r\n', ' and ')} that is reset on the way is not taken for a whole one`, async () => {
+    const server = await openRawServer((socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${framing}\r\n\r\n5\r\nabcde\r\n`, () => { setTimeout(() => { socket.resetAndDestroy() }, 30) })
+    })
+    const pool = new Pool(`http://${server.address}`, { connections: 1, pipelining: 1, connect: failResets(buildConnector({})) })
+    const result = await exchange(pool, describeRequest({ deadline: performance.now() + 2_000 })).catch((error: unknown) => error)
+    await pool.destroy()
+    await server.close()
+    assert.ok(result instanceof ExchangeError)
+    assert.equal(result.failure, ExchangeFailure.Broken)
+    assert.equal(result.written, true)
+  })
+}
--- a/src/entry/UpstreamConnections.ts
+++ b/src/entry/UpstreamConnections.ts
@@ -1,6 +1,6 @@
-import { buildConnector, Pool, type Dispatcher } from 'undici'
+import type { Dispatcher, Pool } from 'undici'
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
-import { failResets } from '../relay/failResets.js'
+import { openPool } from '../relay/openPool.js'
 
 /** A round trip between regions takes 110 ms; a lost packet is sent again after a second, when another upstream is the better choice. */
 const CONNECT_MILLISECONDS = 500
@@ -18,13 +18,7 @@
     const known = this.#pools.get(record.address)
     if (known !== undefined && known.record.id === record.id) return known.pool
     known?.pool.close().catch(() => {})
-    const pool = new Pool(`http://${record.address}`, {
-      connections: MOST_CONNECTIONS,
-      pipelining: 1,
-      keepAliveTimeout: IDLE_MILLISECONDS,
-      keepAliveMaxTimeout: IDLE_MILLISECONDS,
-      connect: failResets(buildConnector({ timeout: CONNECT_MILLISECONDS }))
-    })
+    const pool = openPool(record.address, { connections: MOST_CONNECTIONS, connectMilliseconds: CONNECT_MILLISECONDS, idleMilliseconds: IDLE_MILLISECONDS })
     this.#pools.set(record.address, { record, pool })
     return pool
   }
--- a/src/relay/PeerConnections.ts
+++ b/src/relay/PeerConnections.ts
@@ -1,4 +1,5 @@
-import { Pool, type Dispatcher } from 'undici'
+import type { Dispatcher, Pool } from 'undici'
+import { openPool } from './openPool.js'
 
 const CONNECTIONS_PER_OWNER = 256
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000
@@ -17,7 +18,7 @@
   to (address: string): Dispatcher {
     const known = this.#pools.get(address)
     if (known !== undefined) return known
-    const pool = new Pool(`http://${this.#dialAddress(address)}`, { connections: CONNECTIONS_PER_OWNER, pipelining: 1, connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS } })
+    const pool = openPool(this.#dialAddress(address), { connections: CONNECTIONS_PER_OWNER, connectMilliseconds: CONNECT_TIMEOUT_MILLISECONDS })
     this.#pools.set(address, pool)
     return pool
   }
--- a/src/relay/Upstream.ts
+++ b/src/relay/Upstream.ts
@@ -1,5 +1,6 @@
-import { Pool } from 'undici'
+import type { Pool } from 'undici'
 import { UpstreamState, type Announcement } from './Announcement.js'
+import { openPool } from './openPool.js'
 import type { RelayedRequest } from './RelayedRequest.js'
 
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000
@@ -151,11 +152,7 @@
   }
 
   #openConnections (): Pool {
-    return new Pool(`http://${this.address}`, {
-      connections: this.#connectionCount,
-      pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS }
-    })
+    return openPool(this.address, { connections: this.#connectionCount, connectMilliseconds: CONNECT_TIMEOUT_MILLISECONDS })
   }
 
   #foreignAt (now: number): number {
