--- a/src/hibiscusrelay.ts
+++ b/src/hibiscusrelay.ts
@@ -185,6 +185,7 @@
 export type { LimitSettings, PeerSettings, Settings, TimingSettings } from './settings/Settings.js'
 
 // Logs, counters and metrics.
+export { BoundedOutput, DEFAULT_OUTPUT_LIMITS, type OutputLimits } from './observe/BoundedOutput.js'
 export { Counters, type MetricSink } from './observe/Counters.js'
 export { createLog } from './observe/createLog.js'
 export { createMetricSink, type ClosableMetricSink } from './observe/createMetricSink.js'
