Admit requests by shares of the slots

Ruled out: placement alone (per-upstream fill is known too late: a host hears one report a second), upstreams' own shedding (their queues are three slots long).

Change: each host has at most its share, by demand, of 1.2 requests per slot under way at a service; more wait by urgency while their answer can come in time, and are turned away at once otherwise. Entry hosts report demand with what they report anyway. Log lines tell object, rank and fill of the choice.

--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -13,6 +13,7 @@
 import { CrashWatch } from './CrashWatch.js'
 import { EntryRelay } from './EntryRelay.js'
 import { GuestListener, type GuestListenerOptions } from './GuestListener.js'
+import { ServiceAdmission } from './ServiceAdmission.js'
 import { UpstreamConnections } from './UpstreamConnections.js'
 import { UpstreamLoads } from './UpstreamLoads.js'
 import type { UpstreamProtocol } from './UpstreamProtocol.js'
@@ -61,6 +62,7 @@
   readonly #loads = new UpstreamLoads()
   readonly #connections = new UpstreamConnections()
   readonly #poison = new PoisonGuard()
+  readonly #admission = new ServiceAdmission(this.#known)
   readonly #follower: ControlFollower
   readonly #listener: HttpListener
   #isListening = false
@@ -134,6 +136,7 @@
       hostName: settings().name,
       known: this.#known,
       loads: this.#loads,
+      admission: this.#admission,
       connections: this.#connections,
       protocol,
       poison: this.#poison,
@@ -149,7 +152,7 @@
 
   #describe (): EntryHost {
     const { name, domain, region, guestAddress } = this.#options.settings()
-    return { name, domain, region, guestAddress, isReady: this.isReady }
+    return { name, domain, region, guestAddress, isReady: this.isReady, demand: this.#admission.listDemand() }
   }
 
   #takePlan (): void {
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -3,8 +3,10 @@
 import type { Counters } from '../observe/Counters.js'
 import { refusalCounter, retryCounter } from '../observe/declareCounters.js'
 import type { Log } from '../observe/Log.js'
+import { Admission, type AdmissionTicket } from '../placement/AdmissionQueue.js'
 import { choosePlacement } from '../placement/choosePlacement.js'
 import { ColdShare } from '../placement/ColdShare.js'
+import { mostUsefulWait } from '../placement/mostUsefulWait.js'
 import { RetryShare, type RetryBound } from '../placement/RetryShare.js'
 import { pickTarget } from '../plan/pickTarget.js'
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
@@ -23,6 +25,7 @@
 import type { EntryRequest } from './EntryRequest.js'
 import { listCandidates, type PlacementCandidate } from './listCandidates.js'
 import { RequestTrack } from './RequestTrack.js'
+import type { ServiceAdmission } from './ServiceAdmission.js'
 import type { UpstreamConnections } from './UpstreamConnections.js'
 import type { UpstreamLoads } from './UpstreamLoads.js'
 import { AnswerKind, type UpstreamProtocol } from './UpstreamProtocol.js'
@@ -37,6 +40,7 @@
   hostName: string
   known: KnownState
   loads: UpstreamLoads
+  admission: ServiceAdmission
   connections: UpstreamConnections
   protocol: UpstreamProtocol
   poison: PoisonGuard
@@ -71,11 +75,25 @@
     const service = pickTarget(route.targets, this.#options.random())
     const track = new RequestTrack(service, fingerprintRequest({ service, method: request.method, path: request.path, body: request.body }))
     this.#retryShare(service).noteRequest(performance.now())
-    const answer = await this.#attempt(request, track)
+    const answer = await this.#admit(request, track)
     this.#note(request, track, answer)
     return answer
   }
 
+  async #admit (request: EntryRequest, track: RequestTrack): Promise<RelayAnswer> {
+    const queue = this.#options.admission.arrive(track.service)
+    const admission = await queue.enter(describeTicket(request, queue.meanHoldMilliseconds), request.cancelled)
+    const admittedAt = performance.now()
+    track.waited = Math.round(admittedAt - request.arrivedAt)
+    if (admission === Admission.Cancelled) return refuse(RefusalReason.Cancelled)
+    if (admission === Admission.TooLate) return refuse(RefusalReason.QueueFull)
+    try {
+      return await this.#attempt(request, track)
+    } finally {
+      queue.leave(performance.now() - admittedAt)
+    }
+  }
+
   async #attempt (request: EntryRequest, track: RequestTrack): Promise<RelayAnswer> {
     for (;;) {
       if (this.#options.poison.isPoison(track.fingerprint)) return track.mayHaveRun ? answerUnknown(RefusalReason.AnswerLost) : refuse(RefusalReason.Poison)
@@ -100,7 +118,10 @@
       regionOf,
       mayUseCold: (record) => this.#mayUseCold(record)
     })
-    return choosePlacement(candidates)
+    const chosen = choosePlacement(candidates)
+    track.rank = chosen === undefined ? undefined : candidates.indexOf(chosen)
+    track.fill = chosen === undefined ? undefined : Math.round(chosen.utilization * 100)
+    return chosen
   }
 
   #mayUseCold (record: UpstreamRecord): boolean {
@@ -220,6 +241,10 @@
       service: track.service,
       plan: known.plan?.version,
       tried: [...track.tried].join(','),
+      object: request.objectKey,
+      waited: track.waited,
+      rank: track.rank,
+      fill: track.fill,
       sends: track.sends,
       outcome: answer.outcome,
       reason: answer.reason,
@@ -235,3 +260,9 @@
 function discard ({ body }: ExchangeAnswer): void {
   if (!Buffer.isBuffer(body)) body.destroy()
 }
+
+function describeTicket ({ route, arrivedAt, deadline }: EntryRequest, expectedRun: number): AdmissionTicket {
+  const now = performance.now()
+  const objective = arrivedAt + route.targetLatencyMilliseconds - now
+  return { priority: route.priority, mostWaitMilliseconds: mostUsefulWait({ objective, remaining: deadline - now, expectedRun }) }
+}
--- a/src/entry/RequestTrack.ts
+++ b/src/entry/RequestTrack.ts
@@ -7,6 +7,12 @@
   readonly fingerprint: string
   /** Identifiers of the upstreams that were tried. */
   readonly tried = new Set<string>()
+  /** Milliseconds from its arrival until it was admitted or turned away. */
+  waited = 0
+  /** Fill of the upstream of the last attempt, as this host saw it, in percent of its slots. */
+  fill: number | undefined
+  /** Place of that upstream in the order of the object, from 0. */
+  rank: number | undefined
   /** Attempts that reached an upstream. */
   sends = 0
   /** Attempts that reached none. */
--- a/src/follow/FollowMessages.ts
+++ b/src/follow/FollowMessages.ts
@@ -46,6 +46,8 @@
   isCurrent: boolean
   /** Entry hosts heard lately by the control hosts together. */
   entryHosts: number
+  /** Requests per second for each service at all of them. */
+  demand: Record<string, number>
   /** All control hosts. */
   controlHosts: ControlHost[]
   losses: PoisonRecord[]
--- a/src/follow/KnownState.ts
+++ b/src/follow/KnownState.ts
@@ -19,6 +19,7 @@
   #lost = new Set<string>()
   #byService: Map<string, UpstreamEntry[]> | undefined
   #entryHosts = 0
+  #demand: Record<string, number> = {}
   #followedSince: number | undefined
 
   /**
@@ -30,6 +31,16 @@
     return this.#entryHosts
   }
 
+  /** Entry hosts counted so far, also while the count is young. */
+  get entryHostsHeard (): number {
+    return Math.max(1, this.#entryHosts)
+  }
+
+  /** @returns requests per second for a service at all entry hosts, as last told */
+  demandOf (service: string): number {
+    return this.#demand[service] ?? 0
+  }
+
   get plan (): RoutingPlan | undefined {
     return this.#plan
   }
@@ -61,6 +72,7 @@
   merge (reply: FollowReply): boolean {
     this.#followedSince ??= performance.now()
     this.#entryHosts = Math.max(this.#entryHosts, reply.entryHosts)
+    this.#demand = reply.demand
     this.#mergeEvacuations(reply)
     for (const { record, isLost } of reply.upstreams) {
       this.upstreams.merge(record)
--- a/src/follow/StateFeed.ts
+++ b/src/follow/StateFeed.ts
@@ -104,6 +104,7 @@
       isComplete,
       isCurrent: this.#options.isCurrent(),
       entryHosts: this.#options.entryHosts.count,
+      demand: this.#options.entryHosts.sumDemand(),
       controlHosts: this.#options.listControlHosts(),
       losses: losses.changedSince(isComplete ? 0 : position.lossRevision)
     }
--- a/src/registry/EntryHost.ts
+++ b/src/registry/EntryHost.ts
@@ -7,4 +7,6 @@
   guestAddress: string
   /** Whether it takes new connections. */
   isReady: boolean
+  /** Requests per second for each service that guests send to it. */
+  demand: Record<string, number>
 }
--- a/src/registry/EntryHostTable.ts
+++ b/src/registry/EntryHostTable.ts
@@ -32,6 +32,15 @@
     return this.#listHeard().length
   }
 
+  /** @returns requests per second for each service at all hosts heard lately */
+  sumDemand (): Record<string, number> {
+    const sums: Record<string, number> = {}
+    for (const { demand } of this.#listHeard()) {
+      for (const [service, perSecond] of Object.entries(demand)) sums[service] = Math.round(((sums[service] ?? 0) + perSecond) * 10) / 10
+    }
+    return sums
+  }
+
   /** @returns hosts heard lately with the age of that, in milliseconds */
   listWithAge (mostMilliseconds: number): Array<{ host: EntryHost, ageMilliseconds: number }> {
     const now = performance.now()
