--- a/src/placement/choosePlacement.ts
+++ b/src/placement/choosePlacement.ts
@@ -1,28 +1,29 @@
 import type { RankedCandidate } from './RankedCandidate.js'
 
-/** Copies of an object's state that load may spread over: each one more is a cold run more. */
-const COPIES = 3
-/** Fill above which the next copy is used; the rest is room for what other hosts send meanwhile. */
+/** Fill above which the next upstream in the order is used; the rest is room for what other hosts send meanwhile. */
 const FULL_UTILIZATION = 0.85
 /** Fill above which an upstream is about to shed: its queue takes some three times its slots. */
 const SHED_UTILIZATION = 2
+/** Upstreams of the order that a request may wait at when none has a free slot. */
+const COPIES = 3
 
 /**
  * Chooses the upstream for one request.
  *
- * Load pattern: work on an object takes a third of the time where the object was handled lately, and the slots of all
- * upstreams together are fewer than cold work would need. So an object stays with the first upstream of its order, and
- * moves down the order only as far as fill demands it, however unevenly regions ask.
+ * Load pattern: work on an object takes a third of the time where the object was handled lately, an upstream remembers
+ * some 40 objects, and the slots of all together are fewer than cold work would need. So an object stays with the first
+ * upstreams of its order, and moves down the order only as far as fill demands it: overflow to any upstream with a free
+ * slot makes each of them forget what it holds.
  *
  * @param candidates - upstreams that may take the request, in the order of the object
  * @returns the upstream, undefined when all are about to shed
  */
 export function choosePlacement<Candidate extends RankedCandidate> (candidates: readonly Candidate[]): Candidate | undefined {
   const warm = candidates.filter((candidate) => !candidate.isCold)
-  const copies = warm.slice(0, COPIES)
-  const free = copies.find(({ utilization }) => utilization < FULL_UTILIZATION)
-  if (free !== undefined) return free
-  return leastUtilized(copies, 1) ?? leastUtilized(warm, 1) ?? leastUtilized(candidates, 1) ?? leastUtilized(candidates, SHED_UTILIZATION)
+  return warm.find(({ utilization }) => utilization < FULL_UTILIZATION) ??
+    leastUtilized(warm.slice(0, COPIES), 1) ??
+    leastUtilized(candidates, 1) ??
+    leastUtilized(candidates, SHED_UTILIZATION)
 }
 
 function leastUtilized<Candidate extends RankedCandidate> (candidates: readonly Candidate[], below: number): Candidate | undefined {
