--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -194,6 +194,7 @@
 
   #takeFailure (track: RequestTrack, record: UpstreamRecord, error: ExchangeError): RelayAnswer | undefined {
     const { loads, crashes } = this.#options
+    track.cause = String(error.cause)
     if (error.failure === ExchangeFailure.Cancelled) return explainExchangeError(error)
     if (error.failure !== ExchangeFailure.Forbidden) loads.of(record.id).noteFailure(performance.now())
     if (!error.written) {
@@ -248,6 +249,7 @@
       sends: track.sends,
       outcome: answer.outcome,
       reason: answer.reason,
+      cause: track.cause,
       status: answer.status,
       took: Math.round(performance.now() - request.arrivedAt)
     }
--- a/src/entry/RequestTrack.ts
+++ b/src/entry/RequestTrack.ts
@@ -13,6 +13,8 @@
   fill: number | undefined
   /** Place of that upstream in the order of the object, from 0. */
   rank: number | undefined
+  /** What broke the last attempt that gave no answer. */
+  cause: string | undefined
   /** Attempts that reached an upstream. */
   sends = 0
   /** Attempts that reached none. */
