Pass an answer without length on without one

Ruled out: resets (sockets logged in a trial: the broken answers came with an orderly end, resets came as errors and were failed).

Change: the exchange notes answers that end with their connection; the guest gets them that way. Test red before: the answer had a length.

--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -180,7 +180,8 @@
     if (kind === AnswerKind.Own) {
       load.noteSuccess()
       track.sends += 1
-      return { outcome: Outcome.Ran, reason: undefined, status: answer.status, headers: answer.headers, body: answer.body, pool: undefined }
+      const { status, headers, body, endsWithConnection } = answer
+      return { outcome: Outcome.Ran, reason: undefined, status, headers, body, endsWithConnection, pool: undefined }
     }
     discard(answer)
     track.sends += 1
--- a/src/entry/GuestListener.ts
+++ b/src/entry/GuestListener.ts
@@ -4,7 +4,7 @@
 import { refusalCounter } from '../observe/declareCounters.js'
 import type { Log } from '../observe/Log.js'
 import { chooseRetryAfter } from '../placement/chooseRetryAfter.js'
-import { deliverBody, describeLength } from '../relay/deliverBody.js'
+import { deliverAnswer } from '../relay/deliverBody.js'
 import { isHopHeader } from '../relay/isHopHeader.js'
 import { refuse } from '../relay/refuse.js'
 import { refusalStatus } from '../relay/refusalStatus.js'
@@ -101,8 +101,7 @@
       if (!isHopHeader(name)) response.appendHeader(name, value)
     }
     if (answer.reason !== undefined) this.#describeRefusal(response, answer.status, answer.reason, request.guestDeadline - performance.now())
-    response.writeHead(answer.status, describeLength(answer.body))
-    await deliverBody(answer.body, response)
+    await deliverAnswer(answer, response)
   }
 
   #describeRefusal (response: ServerResponse, status: number, reason: RefusalReason, remaining: number): void {
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -7,6 +7,8 @@
 
 const UNREACHABLE_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL'])
 
+const BODILESS_STATUSES = new Set([204, 304])
+
 /** Follows one exchange: notes whether bytes were written, collects the answer, and enforces the deadline. */
 export class AnswerCollector implements Dispatcher.DispatchHandler {
   readonly answer: Promise<ExchangeAnswer>
@@ -25,6 +27,7 @@
   #status = 0
   #headers: HeaderField[] = []
   #bytes = 0
+  #endsWithConnection = false
   #stream: PassThrough | undefined
 
   /** @param request - the exchange to follow */
@@ -54,6 +57,7 @@
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
     this.#status = status
     this.#headers = listHeaders(headers)
+    this.#endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && !hasNoBody(this.#request.method, status)
   }
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -98,7 +102,7 @@
   }
 
   #describe (body: Buffer | PassThrough): ExchangeAnswer {
-    return { status: this.#status, headers: this.#headers, body, finished: this.#finished }
+    return { status: this.#status, headers: this.#headers, body, endsWithConnection: this.#endsWithConnection, finished: this.#finished }
   }
 
   #stop (failure: ExchangeFailure): void {
@@ -122,6 +126,10 @@
   return ExchangeFailure.Broken
 }
 
+function hasNoBody (method: string, status: number): boolean {
+  return method === 'HEAD' || BODILESS_STATUSES.has(status)
+}
+
 function listHeaders (headers: IncomingHttpHeaders): HeaderField[] {
   return Object.entries(headers).flatMap(([name, value]) => {
     if (Array.isArray(value)) return value.map((each) => ({ name, value: each }))
--- a/src/relay/RelayAnswer.ts
+++ b/src/relay/RelayAnswer.ts
@@ -13,6 +13,8 @@
   headers: HeaderField[]
   /** The whole body, or a stream of one larger than the buffer; the stream fails when the upstream breaks off. */
   body: Buffer | Readable
+  /** Whether the upstream's answer had no length but the end of its connection; the guest must get it that way, too. */
+  endsWithConnection?: boolean
   /** How long an upstream ran it, absent when none did; known at its owner only. */
   run?: { runMilliseconds: number }
   /** What the owner told of its pool, undefined when no owner answered. */
--- a/src/relay/deliverBody.ts
+++ b/src/relay/deliverBody.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http'
 import type { Readable } from 'node:stream'
 import { pipeline } from 'node:stream/promises'
+import type { RelayAnswer } from './RelayAnswer.js'
 
 /**
  * Sends a body and ends the response. A stream that breaks off destroys the connection,
@@ -25,3 +26,19 @@
 export function describeLength (body: Buffer | Readable): Record<string, string> {
   return Buffer.isBuffer(body) ? { 'content-length': String(body.length) } : {}
 }
+
+/**
+ * Sends status and body of an answer whose headers are set. An answer that ended with its connection may be a part;
+ * it ends with the guest's connection too, so that no length makes it look whole.
+ *
+ * @param answer - the answer
+ * @param response - takes it
+ */
+export async function deliverAnswer ({ status, body, endsWithConnection }: RelayAnswer, response: ServerResponse): Promise<void> {
+  if (endsWithConnection === true) {
+    response.useChunkedEncodingByDefault = false
+    response.shouldKeepAlive = false
+    response.writeHead(status)
+  } else response.writeHead(status, describeLength(body))
+  await deliverBody(body, response)
+}
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -28,6 +28,8 @@
   headers: HeaderField[]
   /** The whole body, or a stream of a body larger than the buffer. */
   body: Buffer | Readable
+  /** Whether only the end of the connection tells where the body ends, so that a part can't be told from the whole. */
+  endsWithConnection: boolean
   /** Settles when the last byte of the answer has come or the connection is gone. */
   finished: Promise<void>
 }
