--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -3,10 +3,9 @@
 import type { Counters } from '../observe/Counters.js'
 import { refusalCounter, retryCounter } from '../observe/declareCounters.js'
 import type { Log } from '../observe/Log.js'
-import { Admission, type AdmissionTicket } from '../placement/AdmissionQueue.js'
+import { Admission } from '../placement/AdmissionQueue.js'
 import { choosePlacement } from '../placement/choosePlacement.js'
 import { ColdShare } from '../placement/ColdShare.js'
-import { mostUsefulWait } from '../placement/mostUsefulWait.js'
 import { RetryShare, type RetryBound } from '../placement/RetryShare.js'
 import { pickTarget } from '../plan/pickTarget.js'
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
@@ -22,6 +21,7 @@
 import { RetryReason } from '../types/RetryReason.js'
 import { Step } from '../types/Step.js'
 import type { CrashWatch } from './CrashWatch.js'
+import { describeTicket } from './describeTicket.js'
 import type { EntryRequest } from './EntryRequest.js'
 import { listCandidates, type PlacementCandidate } from './listCandidates.js'
 import { RequestTrack } from './RequestTrack.js'
@@ -263,9 +263,3 @@
 function discard ({ body }: ExchangeAnswer): void {
   if (!Buffer.isBuffer(body)) body.destroy()
 }
-
-function describeTicket ({ route, arrivedAt, deadline }: EntryRequest, expectedRun: number): AdmissionTicket {
-  const now = performance.now()
-  const objective = arrivedAt + route.targetLatencyMilliseconds - now
-  return { priority: route.priority, mostWaitMilliseconds: mostUsefulWait({ objective, remaining: deadline - now, expectedRun }) }
-}
--- a/src/placement/choosePlacement.ts
+++ b/src/placement/choosePlacement.ts
@@ -1,10 +1,10 @@
 import type { RankedCandidate } from './RankedCandidate.js'
 
-/** Fill above which the next upstream in the order is used; the rest is room for what other hosts send meanwhile. */
+/** Fill above which the next copy is used; the rest is room for what other hosts send meanwhile. */
 const FULL_UTILIZATION = 0.85
 /** Fill above which an upstream is about to shed: its queue takes some three times its slots. */
 const SHED_UTILIZATION = 2
-/** Upstreams of the order that a request may wait at when none has a free slot. */
+/** Copies of an object's state that load may spread over: each one more is a cold run more. */
 const COPIES = 3
 
 /**
@@ -20,8 +20,10 @@
  */
 export function choosePlacement<Candidate extends RankedCandidate> (candidates: readonly Candidate[]): Candidate | undefined {
   const warm = candidates.filter((candidate) => !candidate.isCold)
-  return warm.find(({ utilization }) => utilization < FULL_UTILIZATION) ??
-    leastUtilized(warm.slice(0, COPIES), 1) ??
+  const copies = warm.slice(0, COPIES)
+  return copies.find(({ utilization }) => utilization < FULL_UTILIZATION) ??
+    leastUtilized(copies, 1) ??
+    warm.find(({ utilization }) => utilization < 1) ??
     leastUtilized(candidates, 1) ??
     leastUtilized(candidates, SHED_UTILIZATION)
 }
