--- /dev/null
+++ b/__tests__/platform/PlatformSystem.ts
@@ -0,0 +1,78 @@
+import { spawn, type ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+
+const PEER_PORT = 27_660
+const CONTROL_PORT = 27_146
+const DIRECTORY_PORT = 27_143
+const GUEST_PORT = 27_144
+const READINESS_PORT = 27_140
+const NETWORK = '127.0.77'
+const CONTROL_HOSTS = 3
+
+/** Control hosts and one entry host of the platform form as processes of their own, on loopback addresses. */
+export class PlatformSystem {
+  readonly #folder = mkdtempSync(join(tmpdir(), 'hibiscusrelay-platform-'))
+  readonly #processes: ChildProcess[] = []
+  readonly lines: string[] = []
+
+  /** Guest address of the entry host. */
+  readonly guestAddress = `${NETWORK}.${CONTROL_HOSTS + 1}:${GUEST_PORT}`
+
+  /** @returns control address of a control host */
+  controlAddress (number: number): string {
+    return `${NETWORK}.${number + 1}:${CONTROL_PORT}`
+  }
+
+  get directoryAddress (): string {
+    return `${NETWORK}.1:${DIRECTORY_PORT}`
+  }
+
+  get readinessAddress (): string {
+    return `${NETWORK}.${CONTROL_HOSTS + 1}:${READINESS_PORT}`
+  }
+
+  /** Starts all processes. */
+  start (): void {
+    for (let number = 0; number < CONTROL_HOSTS; number += 1) this.startControl(number, true)
+    this.#spawn('entry', CONTROL_HOSTS, `guest-address = ${this.guestAddress}\nreadiness-address = ${this.readinessAddress}`, '', false)
+  }
+
+  /** Starts a control host, with what its folder holds. */
+  startControl (number: number, isFirstStart: boolean): ChildProcess {
+    const ip = `${NETWORK}.${number + 1}`
+    const listen = `control-address = ${ip}:${CONTROL_PORT}\ndirectory-address = ${ip}:${DIRECTORY_PORT}`
+    return this.#spawn('control', number, listen, `data-folder = ${join(this.#folder, `data-${number}`)}`, isFirstStart)
+  }
+
+  /** The process of a host: control hosts first, the entry host last. */
+  processOf (number: number): ChildProcess {
+    return this.#processes[number]!
+  }
+
+  /** Ends what still runs. */
+  async stop (): Promise<void> {
+    await Promise.all(this.#processes.map(async (child) => {
+      if (child.exitCode !== null || child.signalCode !== null) return
+      child.kill('SIGKILL')
+      await once(child, 'exit')
+    }))
+    rmSync(this.#folder, { recursive: true })
+  }
+
+  #spawn (role: string, number: number, listen: string, folder: string, isFirstStart: boolean): ChildProcess {
+    const ip = `${NETWORK}.${number + 1}`
+    const seeds = Array.from({ length: CONTROL_HOSTS }, (_, seed) => this.controlAddress(seed)).join(',')
+    const file = join(this.#folder, `${role}-${number}.ini`)
+    writeFileSync(file, `[host]\nname = ${role}-${number}\nfailure-domain = oviedo\nregion = asturias\n${folder}\n` +
+      `[listen]\npeer-address = ${ip}:${PEER_PORT}\n${listen}\n` +
+      `[control]\nseed-addresses = ${seeds}\npeer-port = ${PEER_PORT}\nfirst-start = ${isFirstStart}\n` +
+      '[limits]\nstop-seconds = 4\n[regions]\noviedo = asturias\n')
+    const child = spawn(process.execPath, [`target/${role}.mjs`], { env: { HIBISCUSRELAY_NODE_FILE: file }, stdio: ['ignore', 'pipe', 'inherit'] })
+    child.stdout.on('data', (chunk: Buffer) => { this.lines.push(...chunk.toString().split('\n')) })
+    this.#processes[number] = child
+    return child
+  }
+}
--- /dev/null
+++ b/__tests__/platform/StandInUpstream.ts
@@ -0,0 +1,44 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+/** An upstream as the platform describes it: announces itself, runs requests, and refuses those meant for another. */
+export class StandInUpstream {
+  readonly runs: string[] = []
+  readonly #id: string
+  readonly #server: Server
+  #sequence = 0
+
+  /** @param id - its identifier */
+  constructor (id: string) {
+    this.#id = id
+    this.#server = createServer((request, response) => { this.#answer(request, response) })
+  }
+
+  async open (): Promise<void> {
+    await new Promise<void>((resolve) => { this.#server.listen(0, '127.0.0.1', resolve) })
+  }
+
+  close (): void {
+    this.#server.closeAllConnections()
+    this.#server.close()
+  }
+
+  /** @returns the status of the control host's answer to an announcement */
+  async announce (controlAddress: string, state = 'ready'): Promise<number> {
+    const { port } = this.#server.address() as AddressInfo
+    const body = { service: 'inventario', address: `127.0.0.1:${port}`, zone: 'oviedo', version: 'v1', slots: 4, state, cold_remaining_s: 0, sequence: ++this.#sequence, born: 1_000 }
+    const answer = await fetch(`http://${controlAddress}/instances/${this.#id}/heartbeat`, { method: 'POST', body: JSON.stringify(body) })
+    return answer.status
+  }
+
+  #answer (request: IncomingMessage, response: ServerResponse): void {
+    const attempt = String(request.headers['attempt-id'])
+    response.setHeader('Attempt-Id', attempt)
+    if (request.headers['expected-instance'] !== this.#id) {
+      response.writeHead(421).end()
+      return
+    }
+    this.runs.push(`${request.method} ${request.url} ${attempt}`)
+    response.writeHead(200, { 'Response-Signature': 'made-here', 'Server-Load': '1,0,4' }).end('whole answer')
+  }
+}
