--- /dev/null
+++ b/__tests__/platform/decode.test.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { decodeAnnouncement, decodeBirth } from '../../platform/wire/decodeAnnouncement.js'
+import { decodePlan } from '../../platform/wire/decodePlan.js'
+import { RequestClass } from '../../src/types/RequestClass.js'
+import { UpstreamReadiness } from '../../src/registry/UpstreamRecord.js'
+
+const announcement = { service: 's', address: '10.0.0.9:8080', zone: 'oviedo', version: 'v1', slots: 9, state: 'ready', cold_remaining_s: 1.5, sequence: 4, born: 1_000 }
+
+test('an announcement becomes a record in the terms of the product', () => {
+  assert.deepEqual(decodeAnnouncement('i-1', announcement), {
+    id: 'i-1', bornAt: 1_000, sequence: 4, service: 's', address: '10.0.0.9:8080', domain: 'oviedo', slots: 9, readiness: UpstreamReadiness.Ready, coldMilliseconds: 1_500
+  })
+})
+
+const faults: object[] = [{ service: undefined }, { slots: '9' }, { slots: 0 }, { state: 'happy' }, { born: 1.5 }, { born: undefined }, { sequence: -1 }, { address: 'nowhere' }, { cold_remaining_s: null }, { zone: 7 }]
+for (const fault of faults) {
+  test(`an announcement with ${Object.keys(fault)[0]} ${JSON.stringify(Object.values(fault)[0])} names no upstream`, () => {
+    assert.equal(decodeAnnouncement('i-1', { ...announcement, ...fault }), undefined)
+  })
+}
+
+test('bytes that are no object name no upstream and no start', () => {
+  for (const body of [undefined, null, 7, 'x', []]) {
+    assert.equal(decodeAnnouncement('i-1', body), undefined)
+    assert.equal(decodeBirth(body), undefined)
+  }
+  assert.equal(decodeBirth({ born: 5 }), 5)
+})
+
+const routeColumns = ['name', 'host', 'path_prefix', 'route_type', 'timeout_s', 'target_latency_s', 'priority', 'service', 'max_attempts', 'sticky', 'home_regions', 'traffic_split']
+
+function documentOf (row: unknown[], change: object = {}): string {
+  return JSON.stringify({
+    version: '0000000c',
+    base_version: '00000005',
+    routes: { columns: routeColumns, rows: [row] },
+    services: { columns: ['name', 'health_path', 'max_connections', 'protocol', 'tls', 'cold_start_s', 'cold_per_s'], rows: [['s', '/health', 660, 'h1', false, 3, 4.9]] },
+    limits: { max_header_bytes: 16_384, max_body_bytes: 1_000, header_timeout_s: 3, idle_timeout_s: 15 },
+    ...change
+  })
+}
+
+const split = ['r', 'A.example', '/a/', 'non_idempotent', 0.8, 0.3, 2, null, 2, true, ['asturias'], [{ service: 's', weight: 90 }]]
+
+test('a plan is read by columns, versions as hexadecimal digits and times in seconds', () => {
+  const submission = decodePlan(documentOf(split))
+  assert.ok(typeof submission !== 'string')
+  assert.equal(submission.plan.version, 12)
+  assert.equal(submission.baseVersion, 5)
+  assert.deepEqual(submission.plan.routes[0], {
+    name: 'r',
+    host: 'a.example',
+    pathPrefix: '/a/',
+    requestClass: RequestClass.OneTime,
+    timeoutMilliseconds: 800,
+    targetLatencyMilliseconds: 300,
+    priority: 2,
+    targets: [{ service: 's', weight: 90 }],
+    mostAttempts: 2,
+    sticky: true,
+    homeRegions: ['asturias']
+  })
+  assert.equal(submission.plan.limits.idleTimeoutMilliseconds, 15_000)
+})
+
+test('the same document has the same digest, another one another', () => {
+  const digestOf = (text: string): string => (decodePlan(text) as { digest: string }).digest
+  assert.equal(digestOf(documentOf(split)), digestOf(documentOf(split)))
+  assert.notEqual(digestOf(documentOf(split)), digestOf(documentOf(split, { version: '0000000d' })))
+})
+
+const unreadable: Array<[name: string, text: string]> = [
+  ['cut short', documentOf(split).slice(0, -40)],
+  ['with a row that does not fit its columns', documentOf(split.slice(1))],
+  ['with a version that is no number', documentOf(split, { version: 'twelve' })],
+  ['without limits', documentOf(split, { limits: undefined })],
+  ['with an unknown class', documentOf(split.with(3, 'whatever'))]
+]
+for (const [name, text] of unreadable) {
+  test(`a plan ${name} can not be read, and the fault is told`, () => {
+    assert.equal(typeof decodePlan(text), 'string')
+  })
+}
