--- a/__tests__/platform/path.test.ts
+++ b/__tests__/platform/path.test.ts
@@ -1,56 +1,20 @@
 import assert from 'node:assert/strict'
 import { once } from 'node:events'
-import { request } from 'node:http'
 import { test } from 'node:test'
-import { PlatformSystem } from './PlatformSystem.js'
-import { StandInUpstream } from './StandInUpstream.js'
-
-const COLUMNS = ['name', 'host', 'path_prefix', 'route_type', 'timeout_s', 'target_latency_s', 'priority', 'service', 'max_attempts', 'sticky', 'home_regions', 'traffic_split']
-const START_MILLISECONDS = 20_000
-
-function describePlan (version: string, base: string, prefix = '/lookups/'): string {
-  return JSON.stringify({
-    version,
-    base_version: base,
-    routes: { columns: COLUMNS, rows: [['lookups', 'stock.example', prefix, 'idempotent', 2, 0.6, 1, 'inventario', 2, true, [], null]] },
-    services: { columns: ['name', 'health_path', 'max_connections', 'protocol', 'tls', 'cold_start_s', 'cold_per_s'], rows: [['inventario', '/health', 660, 'h1', false, 3, 8]] },
-    limits: { max_header_bytes: 16_384, max_body_bytes: 1_048_576, header_timeout_s: 3, idle_timeout_s: 15 }
-  })
-}
-
-/** Repeats a check until it passes or its time is over. */
-async function until (check: () => Promise<boolean>, milliseconds = START_MILLISECONDS): Promise<void> {
-  const deadline = performance.now() + milliseconds
-  while (!await check().catch(() => false)) {
-    assert.ok(performance.now() < deadline, `not in time: ${check.toString()}`)
-    await new Promise((resolve) => { setTimeout(resolve, 100) })
-  }
-}
-
-async function post (address: string, path: string, body?: string): Promise<number> {
-  const answer = await fetch(`http://${address}${path}`, { method: 'POST', body })
-  return answer.status
-}
-
-function ask (address: string, path: string, attempt: string): Promise<{ status: number, text: string, retryAfter: string | undefined }> {
-  const [host, port] = address.split(':')
-  return new Promise((resolve, reject) => {
-    const call = request({ host, port, path, headers: { Host: 'stock.example', 'Attempt-Id': attempt, 'Deadline-Ms': '3000' } }, (answer) => {
-      let text = ''
-      answer.on('data', (chunk: Buffer) => { text += chunk.toString() })
-      answer.on('end', () => { resolve({ status: answer.statusCode ?? 0, text, retryAfter: answer.headers['retry-after'] }) })
-    })
-    call.on('error', reject)
-    call.end()
-  })
-}
+import { ask, post, until } from '../../examples/platform/calls.js'
+import { describePlan } from '../../examples/platform/describePlan.js'
+import { PlatformSystem } from '../../examples/platform/PlatformSystem.js'
+import { reserveNetwork } from '../scenarios/reserveNetwork.js'
+import { StandInUpstream } from '../../examples/platform/StandInUpstream.js'
 
 test('plan, upstream, directory, request, evacuation, drain, restart of all control hosts and stop', { timeout: 120_000 }, async (context) => {
-  const system = new PlatformSystem()
+  const network = await reserveNetwork()
+  const system = new PlatformSystem(network.number)
   const upstream = new StandInUpstream('i-1')
   context.after(async () => {
     upstream.close()
     await system.stop()
+    network.release()
   })
   await upstream.open()
   system.start()
--- a/examples/demo/main.ts
+++ b/examples/demo/main.ts
@@ -2,14 +2,27 @@
 import { defineCommand, runMain } from 'citty'
 import { reserveNetwork } from '../../__tests__/scenarios/reserveNetwork.js'
 import { DemoSystem } from './DemoSystem.js'
+import { runPlatformDemo } from '../platform/runPlatformDemo.js'
 import { runDemo } from './runDemo.js'
 
 await runMain(defineCommand({
   meta: { name: 'demo', description: 'Run a small system on loopback addresses' },
-  args: { stay: { type: 'boolean', default: false, description: 'keep it running until interrupted, and print where it listens' } },
-  run: async ({ args }) => { await showSystem(args.stay) }
+  args: {
+    plan: { type: 'boolean', default: false, description: 'show the platform form: control hosts, an entry host and a routing plan' },
+    stay: { type: 'boolean', default: false, description: 'keep it running until interrupted, and print where it listens' }
+  },
+  run: async ({ args }) => { await (args.plan ? showPlatform() : showSystem(args.stay)) }
 }))
 
+async function showPlatform (): Promise<void> {
+  const network = await reserveNetwork()
+  try {
+    await runPlatformDemo(network.number)
+  } finally {
+    network.release()
+  }
+}
+
 async function showSystem (stay: boolean): Promise<void> {
   const network = await reserveNetwork()
   const system = new DemoSystem(network.number)
--- a/__tests__/platform/PlatformSystem.ts
+++ b/examples/platform/PlatformSystem.ts
@@ -9,29 +9,35 @@
 const DIRECTORY_PORT = 27_143
 const GUEST_PORT = 27_144
 const READINESS_PORT = 27_140
-const NETWORK = '127.0.77'
 const CONTROL_HOSTS = 3
 
 /** Control hosts and one entry host of the platform form as processes of their own, on loopback addresses. */
 export class PlatformSystem {
   readonly #folder = mkdtempSync(join(tmpdir(), 'hibiscusrelay-platform-'))
   readonly #processes: ChildProcess[] = []
-  readonly lines: string[] = []
+  readonly #network: string
+
+  /** @param networkNumber - its addresses are 127.0.N.1 and so on */
+  constructor (networkNumber: number) {
+    this.#network = `127.0.${networkNumber}`
+  }
 
   /** Guest address of the entry host. */
-  readonly guestAddress = `${NETWORK}.${CONTROL_HOSTS + 1}:${GUEST_PORT}`
+  get guestAddress (): string {
+    return `${this.#network}.${CONTROL_HOSTS + 1}:${GUEST_PORT}`
+  }
 
   /** @returns control address of a control host */
   controlAddress (number: number): string {
-    return `${NETWORK}.${number + 1}:${CONTROL_PORT}`
+    return `${this.#network}.${number + 1}:${CONTROL_PORT}`
   }
 
   get directoryAddress (): string {
-    return `${NETWORK}.1:${DIRECTORY_PORT}`
+    return `${this.#network}.1:${DIRECTORY_PORT}`
   }
 
   get readinessAddress (): string {
-    return `${NETWORK}.${CONTROL_HOSTS + 1}:${READINESS_PORT}`
+    return `${this.#network}.${CONTROL_HOSTS + 1}:${READINESS_PORT}`
   }
 
   /** Starts all processes. */
@@ -42,7 +48,7 @@
 
   /** Starts a control host, with what its folder holds. */
   startControl (number: number, isFirstStart: boolean): ChildProcess {
-    const ip = `${NETWORK}.${number + 1}`
+    const ip = `${this.#network}.${number + 1}`
     const listen = `control-address = ${ip}:${CONTROL_PORT}\ndirectory-address = ${ip}:${DIRECTORY_PORT}`
     return this.#spawn('control', number, listen, `data-folder = ${join(this.#folder, `data-${number}`)}`, isFirstStart)
   }
@@ -63,15 +69,14 @@
   }
 
   #spawn (role: string, number: number, listen: string, folder: string, isFirstStart: boolean): ChildProcess {
-    const ip = `${NETWORK}.${number + 1}`
+    const ip = `${this.#network}.${number + 1}`
     const seeds = Array.from({ length: CONTROL_HOSTS }, (_, seed) => this.controlAddress(seed)).join(',')
     const file = join(this.#folder, `${role}-${number}.ini`)
     writeFileSync(file, `[host]\nname = ${role}-${number}\nfailure-domain = oviedo\nregion = asturias\n${folder}\n` +
       `[listen]\npeer-address = ${ip}:${PEER_PORT}\n${listen}\n` +
       `[control]\nseed-addresses = ${seeds}\npeer-port = ${PEER_PORT}\nfirst-start = ${isFirstStart}\n` +
       '[limits]\nstop-seconds = 4\n[regions]\noviedo = asturias\n')
-    const child = spawn(process.execPath, [`target/${role}.mjs`], { env: { HIBISCUSRELAY_NODE_FILE: file }, stdio: ['ignore', 'pipe', 'inherit'] })
-    child.stdout.on('data', (chunk: Buffer) => { this.lines.push(...chunk.toString().split('\n')) })
+    const child = spawn(process.execPath, [`target/${role}.mjs`], { env: { HIBISCUSRELAY_NODE_FILE: file }, stdio: ['ignore', 'ignore', 'inherit'] })
     this.#processes[number] = child
     return child
   }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,7 +2,7 @@
 import { build } from 'esbuild'
 
 await build({
-  entryPoints: { entry: 'platform/entry.ts', control: 'platform/control.ts' },
+  entryPoints: { entry: 'platform/entry.ts', control: 'platform/control.ts', check: 'platform/check.ts' },
   outdir: 'target',
   outExtension: { '.js': '.mjs' },
   bundle: true,
