--- a/examples/platform/PlatformSystem.ts
+++ b/examples/platform/PlatformSystem.ts
@@ -17,9 +17,9 @@
   readonly #processes: ChildProcess[] = []
   readonly #network: string
 
-  /** @param networkNumber - its addresses are 127.0.N.1 and so on */
+  /** @param networkNumber - its addresses are 127.N.0.1 and so on */
   constructor (networkNumber: number) {
-    this.#network = `127.0.${networkNumber}`
+    this.#network = `127.${networkNumber}.0`
   }
 
   /** Guest address of the entry host. */
--- a/examples/platform/runPlatformDemo.ts
+++ b/examples/platform/runPlatformDemo.ts
@@ -6,7 +6,7 @@
 /**
  * Starts three control hosts and an entry host, and shows a plan, a request, an evacuation and a drain.
  *
- * @param networkNumber - its addresses are 127.0.N.1 and so on
+ * @param networkNumber - its addresses are 127.N.0.1 and so on
  */
 export async function runPlatformDemo (networkNumber: number): Promise<void> {
   const system = new PlatformSystem(networkNumber)
