Test the mending of the replica group and the following of control hosts

After: seeds form a group, an empty disk takes its place under a new identity, two lost disks are mended with the accepted sheet kept, a new address joins and the silent one goes; a follower leaves a control host that is cut off or hears no leader.

--- /dev/null
+++ b/__tests__/control/ReplicaKeeper.test.ts
@@ -0,0 +1,107 @@
+import assert from 'node:assert/strict'
+import { test, type TestContext } from 'node:test'
+import { votersOf } from '../../src/agreement/ReplicaConfiguration.js'
+import { ReplicaKeeper } from '../../src/control/ReplicaKeeper.js'
+import { SheetCluster, type ClusterHost } from '../agreement/support/SheetCluster.js'
+
+const quiet = { info: () => {}, warn: () => {}, error: () => {} }
+const HOSTS = 6
+const SEEDS = 3
+
+/** Replicas with a keeper each; only the first three are seeds. */
+class KeptCluster {
+  readonly cluster: SheetCluster
+  readonly retired: string[] = []
+  readonly #keepers = new Map<ClusterHost, ReplicaKeeper>()
+
+  constructor (context: TestContext) {
+    this.cluster = new SheetCluster(context, 1)
+  }
+
+  async start (): Promise<void> {
+    for (let number = 0; number < HOSTS; number += 1) await this.cluster.add()
+    for (const host of this.cluster.hosts) this.keep(host, true)
+    await this.untilVoters(HOSTS)
+  }
+
+  keep (host: ClusterHost, isFirstStart: boolean): void {
+    const keeper = new ReplicaKeeper({
+      replica: host.replicatedLog,
+      address: host.address,
+      seeds: () => this.cluster.addresses().slice(0, SEEDS),
+      isFirstStart,
+      listPeers: () => this.cluster.addresses().filter((address) => address !== host.address),
+      wantedVoters: () => HOSTS,
+      callPeer: host.callPeer,
+      onRetired: () => { this.retired.push(host.address) },
+      log: quiet
+    })
+    this.#keepers.set(host, keeper)
+    keeper.run().catch(() => {})
+  }
+
+  kill (host: ClusterHost): void {
+    this.#keepers.get(host)?.stop()
+    this.cluster.kill(host)
+  }
+
+  stop (): void {
+    for (const keeper of this.#keepers.values()) keeper.stop()
+  }
+
+  /** Identities of the voters, as the leader knows them. */
+  voters (): string[] {
+    const [leader] = this.cluster.leaders()
+    return leader === undefined ? [] : votersOf(leader.replicatedLog.status().configuration).map(({ identity }) => identity)
+  }
+
+  async untilVoters (count: number): Promise<void> {
+    await this.cluster.until(() => this.voters().length === count, `${count} voters`)
+  }
+}
+
+test('seeds form the group, and the other hosts join it and vote', async (context) => {
+  const kept = new KeptCluster(context)
+  await kept.start()
+  assert.equal(kept.voters().length, HOSTS)
+  kept.stop()
+})
+
+test('a host that comes back with an empty disk takes its own place under a new identity', async (context) => {
+  const kept = new KeptCluster(context)
+  await kept.start()
+  const lost = kept.cluster.hosts.find((host) => !kept.cluster.leaders().includes(host))!
+  const { identity, address } = lost.replicatedLog.status()
+  kept.kill(lost)
+  kept.keep(await kept.cluster.restartWiped(lost), false)
+  await kept.cluster.until(() => kept.voters().length === HOSTS && !kept.voters().includes(identity), 'the lost identity is replaced')
+  const host = kept.cluster.hosts.find((other) => other.address === address)!
+  assert.ok(kept.voters().includes(host.replicatedLog.status().identity))
+  kept.stop()
+})
+
+test('two lost disks at once are mended, and what was accepted stays', async (context) => {
+  const kept = new KeptCluster(context)
+  await kept.start()
+  const { cluster } = kept
+  await cluster.submitMany(cluster.leaders()[0]!, 1, 1)
+  const lost = cluster.hosts.filter((host) => !cluster.leaders().includes(host)).slice(0, 2)
+  const identities = lost.map((host) => host.replicatedLog.status().identity)
+  for (const host of lost) kept.kill(host)
+  for (const host of lost) kept.keep(await cluster.restartWiped(host), false)
+  await cluster.until(() => kept.voters().length === HOSTS && !identities.some((identity) => kept.voters().includes(identity)), 'both are replaced')
+  await cluster.converge(1)
+  kept.stop()
+})
+
+test('a host at a new address joins at once, and the one that is gone goes when it was silent for long', async (context) => {
+  const kept = new KeptCluster(context)
+  await kept.start()
+  const gone = kept.cluster.hosts.find((host) => !kept.cluster.leaders().includes(host))!
+  const { identity } = gone.replicatedLog.status()
+  kept.kill(gone)
+  kept.keep(await kept.cluster.add(), false)
+  await kept.untilVoters(HOSTS + 1)
+  await kept.cluster.until(() => kept.voters().length === HOSTS && !kept.voters().includes(identity), 'the one that is gone is removed')
+  kept.stop()
+})
--- /dev/null
+++ b/__tests__/follow/ControlFollower.test.ts
@@ -0,0 +1,91 @@
+import assert from 'node:assert/strict'
+import { test, type TestContext } from 'node:test'
+import { ControlFollower } from '../../src/follow/ControlFollower.js'
+import { KnownState } from '../../src/follow/KnownState.js'
+import { LossBoard } from '../../src/follow/LossBoard.js'
+import { StateFeed } from '../../src/follow/StateFeed.js'
+import { PlanEntryKind } from '../../src/plan/PlanEntry.js'
+import { PlanState } from '../../src/plan/PlanState.js'
+import { EntryHostTable } from '../../src/registry/EntryHostTable.js'
+import { UpstreamTable } from '../../src/registry/UpstreamTable.js'
+import { MemoryNetwork } from '../agreement/support/MemoryNetwork.js'
+import { submissionOf } from '../plan/planOf.js'
+import { recordOf } from '../registry/recordOf.js'
+import { advance, pauseClock } from '../support/pauseClock.js'
+
+const quiet = { info: () => {}, warn: () => {}, error: () => {} }
+const controlHosts = [{ peerAddress: 'far', domain: 'bilbao', region: 'euskadi' }, { peerAddress: 'near', domain: 'oviedo', region: 'asturias' }]
+
+/** A control host's feed. */
+class Feed {
+  readonly plans = new PlanState()
+  readonly upstreams = new UpstreamTable({ lostMilliseconds: 4_500 })
+  readonly entryHosts = new EntryHostTable()
+  isCurrent = true
+  readonly feed: StateFeed
+
+  constructor (network: MemoryNetwork, name: string) {
+    const { registerHandler } = network.join(name)
+    const { plans, upstreams, entryHosts } = this
+    this.feed = new StateFeed({ feed: name, plans, upstreams, entryHosts, losses: new LossBoard(), isCurrent: () => this.isCurrent, listControlHosts: () => controlHosts, registerHandler })
+    this.feed.open()
+  }
+
+  accept (version: number, base: number): void {
+    this.plans.apply({ kind: PlanEntryKind.Submit, submission: submissionOf(version, base) }, version)
+    this.feed.announce()
+  }
+}
+
+function startFollower (context: TestContext) {
+  pauseClock(context)
+  const network = new MemoryNetwork()
+  const feeds = { far: new Feed(network, 'far'), near: new Feed(network, 'near') }
+  const known = new KnownState()
+  const follower = new ControlFollower({
+    seeds: () => ['far'],
+    describeHost: () => ({ name: 'entry-1', domain: 'oviedo', region: 'asturias', guestAddress: '127.0.0.1:1', isReady: true, demand: {} }),
+    known,
+    takeLosses: () => [],
+    putLossesBack: () => {},
+    onLosses: () => {},
+    onPlan: () => {},
+    callPeer: network.join('entry').callPeer,
+    random: () => 0,
+    log: quiet
+  })
+  follower.run().catch(() => {})
+  context.after(() => { follower.stop() })
+  return { network, feeds, known, follower }
+}
+
+test('a follower moves to a near control host, and hears a change as soon as it is made', async (context) => {
+  const { feeds, known } = startFollower(context)
+  await advance(context, 1_200)
+  assert.equal(feeds.near.feed.isReporter('entry-1'), true)
+  feeds.near.accept(2, 0)
+  feeds.near.upstreams.merge(recordOf())
+  feeds.near.feed.announce()
+  await advance(context, 100)
+  assert.equal(known.plan?.version, 2)
+  assert.equal(known.listReady('inventario').length, 1)
+  assert.deepEqual(feeds.near.entryHosts.choose('oviedo', 'asturias'), ['127.0.0.1:1'])
+})
+
+test('a control host that is cut off is left for another within two seconds', async (context) => {
+  const { network, feeds, known } = startFollower(context)
+  await advance(context, 1_200)
+  network.leave('near')
+  feeds.far.accept(2, 0)
+  await advance(context, 2_000)
+  assert.equal(known.plan?.version, 2)
+})
+
+test('a control host that hears no leader is left for one that does', async (context) => {
+  const { feeds, known } = startFollower(context)
+  await advance(context, 1_200)
+  feeds.near.isCurrent = false
+  feeds.far.accept(2, 0)
+  await advance(context, 2_500)
+  assert.equal(known.plan?.version, 2)
+})
