Give each object one upstream, its own region first, and believe answers before silence

From second 8 on two thirds of the upstreams counted as lost: control hosts cut off from each other took upstreams that the others heard for silent, and entry hosts shrank their shares by them. Runs that begin beside the first one on an object are warm, so a copy costs one cold run.

Ruled out: processor time of the entry hosts (a quarter of their share), waiting at the admission queue (35 ms).

Change: one upstream for an object, a second only beside an overloaded first, then a refusal. Regions by weight: a region keeps what it can carry. An answer to this host goes before a control host's silence; one request at a time tries an upstream that only this host could find alive. Demand falls slowly, so that a cut between control hosts does not enlarge shares. A queue told of shrinks with its age. A guest refused by an upstream that had room comes back at once, and the next attempt may go to the same upstream. Hosts use 0.8 of the retry ratio and half of the allowance.

--- /dev/null
+++ b/__performance_tests__/placement/ModelDay.ts
@@ -0,0 +1,265 @@
+import { setImmediate as nextTurn } from 'node:timers/promises'
+import { mock } from 'node:test'
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { upstreamProtocol } from '../../platform/wire/upstreamProtocol.js'
+import { CrashWatch } from '../../src/entry/CrashWatch.js'
+import { EntryRelay } from '../../src/entry/EntryRelay.js'
+import { ServiceAdmission } from '../../src/entry/ServiceAdmission.js'
+import { UpstreamLoads } from '../../src/entry/UpstreamLoads.js'
+import { KnownState } from '../../src/follow/KnownState.js'
+import { Counters } from '../../src/observe/Counters.js'
+import { chooseRetryAfter } from '../../src/placement/chooseRetryAfter.js'
+import type { PlanRoute, RoutingPlan } from '../../src/plan/RoutingPlan.js'
+import { EntryHostTable } from '../../src/registry/EntryHostTable.js'
+import { UpstreamReadiness, type UpstreamRecord } from '../../src/registry/UpstreamRecord.js'
+import { RefusalReason } from '../../src/types/RefusalReason.js'
+import { PoisonGuard } from '../../src/relay/PoisonGuard.js'
+import { ModelConnections, type ModelNetwork } from './ModelConnections.js'
+import { ModelResult } from './ModelResult.js'
+import { ModelUpstream } from './ModelUpstream.js'
+import type { ModelKind, ModelSite } from './modelSites.js'
+
+/** One step of the model's clock; the shortest delays that matter are some milliseconds. */
+const STEP_MILLISECONDS = 2
+/** How often hosts hear from their control host, and how old the demand is that they hear. */
+const FOLLOW_MILLISECONDS = 500
+const WARM_FACTOR = 0.3
+const WORK_SPREAD = 0.15
+const WAVE_SWING = 0.55
+const WAVE_MILLISECONDS = 36_000
+const DOMAINS = 6
+const DOMAIN_MILLISECONDS = 1
+const HOST_MILLISECONDS = 0.3
+const WARM_UP_PART_OF_TIME_LEFT = 3
+const quiet = { info: () => {}, warn: () => {}, error: () => {} }
+
+/** What happens on a model's day. */
+export interface ModelDaySettings {
+  site: ModelSite
+  seed: number
+  /** Load, as a multiple of the quiet day's. */
+  load: number
+  seconds: number
+  /** Seconds from and to which upstreams of the first service shed a part of their work although they have room. */
+  shed?: { from: number, to: number, part: number }
+  /** When all entry hosts are killed, in seconds; they are back 2 s later. */
+  killAt?: number
+}
+
+interface ModelEntryHost {
+  name: string
+  domain: string
+  known: KnownState
+  admission: ServiceAdmission
+  relay: EntryRelay
+}
+
+/** Plays a day of load against the entry hosts' own relay, admission and placement, on a paused clock. */
+export class ModelDay {
+  readonly #settings: ModelDaySettings
+  readonly #random: () => number
+  readonly #network: ModelNetwork
+  readonly #records: UpstreamRecord[] = []
+  readonly #plan: RoutingPlan
+  readonly #result = new ModelResult()
+  #hosts: ModelEntryHost[] = []
+  #identifiers = 0
+  #isDown = false
+
+  /** @param settings - site, load and events */
+  constructor (settings: ModelDaySettings) {
+    this.#settings = settings
+    const generator = xoroshiro128plus(settings.seed)
+    this.#random = () => uniformFloat64(generator)
+    this.#network = {
+      upstreams: new Map(),
+      requests: new Map(),
+      delay: (from, to) => this.#delay(Number(from), Number(to)),
+      random: this.#random,
+      onRun: (wasWarm, isElsewhere) => { this.#result.noteRun(wasWarm, isElsewhere) }
+    }
+    this.#plan = this.#describePlan()
+    for (const service of settings.site.services) this.#addUpstreams(service)
+  }
+
+  /** @returns what the guests got */
+  async play (): Promise<ModelResult> {
+    const original = performance.now
+    mock.timers.enable({ apis: ['setTimeout', 'setInterval', 'Date'], now: 0 })
+    performance.now = () => Date.now()
+    try {
+      this.#startHosts()
+      this.#scheduleEvents()
+      setInterval(() => { this.#follow() }, FOLLOW_MILLISECONDS)
+      for (let domain = 0; domain < DOMAINS; domain += 1) for (const kind of this.#settings.site.kinds) this.#scheduleArrival(domain, kind)
+      for (let now = 0; now < this.#settings.seconds * 1_000; now += STEP_MILLISECONDS) {
+        mock.timers.tick(STEP_MILLISECONDS)
+        await nextTurn()
+      }
+    } finally {
+      mock.timers.reset()
+      performance.now = original
+    }
+    return this.#result
+  }
+
+  #addUpstreams (service: ModelSite['services'][number]): void {
+    service.upstreams.forEach((count, domain) => {
+      for (let number = 0; number < count; number += 1) {
+        const id = `${service.name}-${domain}-${number}-${this.#settings.seed}`
+        this.#network.upstreams.set(id, new ModelUpstream({ slots: service.slots, queue: service.queue, warmObjects: service.warmObjects, warmFactor: WARM_FACTOR }))
+        this.#records.push({ id, bornAt: 1, sequence: 1, service: service.name, address: id, domain: String(domain), slots: service.slots, readiness: UpstreamReadiness.Ready, coldMilliseconds: 0 })
+      }
+    })
+  }
+
+  #describePlan (): RoutingPlan {
+    const { site } = this.#settings
+    return {
+      version: 1,
+      routes: site.kinds.map((kind) => ({
+        name: kind.name,
+        host: 'model',
+        pathPrefix: `/${kind.name}/`,
+        requestClass: kind.requestClass,
+        timeoutMilliseconds: kind.timeoutMilliseconds,
+        targetLatencyMilliseconds: kind.objectiveMilliseconds,
+        priority: kind.priority,
+        targets: [{ service: kind.service, weight: 1 }],
+        mostAttempts: 2,
+        sticky: true,
+        homeRegions: []
+      })),
+      services: site.services.map(({ name }) => ({ name, healthPath: '/health', mostConnections: 660, coldStartMilliseconds: 3_000, coldRequestsPerSecond: 8 })),
+      limits: { headerBytes: 16_384, bodyBytes: 1_048_576, headerTimeoutMilliseconds: 3_000, idleTimeoutMilliseconds: 15_000 }
+    }
+  }
+
+  #startHosts (): void {
+    this.#hosts = this.#settings.site.hosts.flatMap((count, domain) => Array.from({ length: count }, (_, number) => this.#createHost(`${domain}-${number}`, String(domain))))
+    this.#follow()
+  }
+
+  #createHost (name: string, domain: string): ModelEntryHost {
+    const known = new KnownState()
+    const loads = new UpstreamLoads(known)
+    const admission = new ServiceAdmission(known, loads)
+    const poison = new PoisonGuard()
+    const relay = new EntryRelay({
+      hostName: name,
+      region: regionOf(domain),
+      known,
+      loads,
+      admission,
+      connections: new ModelConnections(this.#network, domain),
+      protocol: upstreamProtocol,
+      poison,
+      crashes: new CrashWatch(poison, quiet),
+      retryBound: () => ({ ratio: 0.2, allowance: 112, windowMilliseconds: 10_000 }),
+      regionOf,
+      answerBufferBytes: 65_536,
+      random: this.#random,
+      counters: new Counters(),
+      log: quiet
+    })
+    return { name, domain, known, admission, relay }
+  }
+
+  #follow (): void {
+    const table = new EntryHostTable()
+    for (const { name, domain, admission } of this.#hosts) table.hear({ name, domain, region: regionOf(domain), guestAddress: name, isReady: true, demand: admission.listDemand() })
+    const demand = table.sumDemand()
+    setTimeout(() => {
+      for (const { known } of this.#hosts) {
+        known.merge({
+          position: { feed: 'model', revision: 1, lossRevision: 0, planVersion: 1, evacuationRevision: 0 },
+          plan: this.#plan,
+          upstreams: known.plan === undefined ? this.#records.map((record) => ({ record, isLost: false })) : [],
+          isComplete: true,
+          isCurrent: true,
+          entryHosts: this.#hosts.length,
+          demand,
+          controlHosts: [],
+          losses: []
+        })
+      }
+    }, 1)
+  }
+
+  #scheduleEvents (): void {
+    const { shed, killAt, site } = this.#settings
+    const setShed = (part: number): void => {
+      for (const { id, service } of this.#records) if (service === site.services[0]!.name) this.#network.upstreams.get(id)!.shedPart = part
+    }
+    if (shed !== undefined) {
+      setTimeout(() => { setShed(shed.part) }, shed.from * 1_000)
+      setTimeout(() => { setShed(0) }, shed.to * 1_000)
+    }
+    if (killAt === undefined) return
+    setTimeout(() => { this.#isDown = true }, killAt * 1_000)
+    setTimeout(() => {
+      this.#isDown = false
+      this.#startHosts()
+    }, killAt * 1_000 + 2_000)
+  }
+
+  #scheduleArrival (domain: number, kind: ModelKind): void {
+    const wave = 1 + WAVE_SWING * Math.sin(2 * Math.PI * (performance.now() / WAVE_MILLISECONDS + [0.4, 0.73, 1.1][Math.floor(domain / 2)]!))
+    const perMillisecond = this.#settings.load * kind.perSecond * wave / DOMAINS / 1_000
+    setTimeout(() => {
+      this.#arrive(domain, kind)
+      this.#scheduleArrival(domain, kind)
+    }, -Math.log(1 - this.#random()) / perMillisecond)
+  }
+
+  #arrive (domain: number, kind: ModelKind): void {
+    const object = Math.floor(this.#random() ** 1.2 * kind.objects)
+    const guest = { domain, kind, object: `${Math.floor(domain / 2)}-${object}`, sentAt: performance.now(), retries: 1, work: kind.workMilliseconds * (1 + WORK_SPREAD * (2 * this.#random() - 1)) }
+    this.#result.noteOwed(guest.sentAt, kind.worth, domain)
+    this.#ask(guest).catch((error: unknown) => { throw error })
+  }
+
+  async #ask (guest: { domain: number, kind: ModelKind, object: string, sentAt: number, retries: number, work: number }): Promise<void> {
+    const { domain, kind, object, sentAt } = guest
+    const hosts = this.#hosts.filter((host) => host.domain === String(domain))
+    const host = hosts[Math.floor(this.#random() * hosts.length)]
+    const now = performance.now()
+    const remaining = sentAt + kind.deadlineMilliseconds - now
+    if (host === undefined || this.#isDown || remaining <= 0) return
+    const id = String(++this.#identifiers)
+    const route = this.#plan.routes.find(({ name }) => name === kind.name) as PlanRoute
+    this.#network.requests.set(id, { id, objectKey: `${kind.name}|${object}`, coldMilliseconds: guest.work })
+    const answer = await host.relay.serve({
+      id,
+      method: 'GET',
+      path: `/${kind.name}/${object}`,
+      headers: [{ name: 'attempt-id', value: id }],
+      body: Buffer.alloc(0),
+      route,
+      objectKey: object,
+      guestDeadline: now + remaining,
+      deadline: now + Math.min(remaining, kind.timeoutMilliseconds),
+      arrivedAt: now,
+      cancelled: new AbortController().signal
+    })
+    this.#network.requests.delete(id)
+    const took = performance.now() - sentAt + 2 * HOST_MILLISECONDS
+    if (answer.status === 200) return this.#result.noteServed(sentAt, took <= kind.objectiveMilliseconds ? kind.worth : kind.lateWorth, took, domain)
+    this.#result.noteRefused(performance.now())
+    if (answer.status !== 503 || guest.retries === 0) return
+    const left = sentAt + kind.deadlineMilliseconds - performance.now()
+    const pause = Math.min(left / WARM_UP_PART_OF_TIME_LEFT, chooseRetryAfter(answer.reason ?? RefusalReason.Shed, left, this.#random()) * 1_000)
+    setTimeout(() => { this.#ask({ ...guest, retries: guest.retries - 1 }).catch((error: unknown) => { throw error }) }, pause)
+  }
+
+  #delay (from: number, to: number): number {
+    if (Math.floor(from / 2) !== Math.floor(to / 2)) return this.#settings.site.regionMilliseconds
+    return from === to ? HOST_MILLISECONDS : DOMAIN_MILLISECONDS
+  }
+}
+
+/** @returns the region of a failure domain: two domains to a region */
+function regionOf (domain: string): string {
+  return String(Math.floor(Number(domain) / 2))
+}
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -59,10 +59,10 @@
 export class EntryHostProcess {
   readonly #options: EntryHostOptions
   readonly #known = new KnownState()
-  readonly #loads = new UpstreamLoads()
+  readonly #loads = new UpstreamLoads(this.#known)
   readonly #connections = new UpstreamConnections()
   readonly #poison = new PoisonGuard()
-  readonly #admission = new ServiceAdmission(this.#known)
+  readonly #admission = new ServiceAdmission(this.#known, this.#loads)
   readonly #follower: ControlFollower
   readonly #listener: HttpListener
   #isListening = false
@@ -134,6 +134,7 @@
     const { settings, protocol, random, counters, log } = this.#options
     return new EntryRelay({
       hostName: settings().name,
+      region: settings().region,
       known: this.#known,
       loads: this.#loads,
       admission: this.#admission,
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -1,7 +1,7 @@
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
 import type { KnownState } from '../follow/KnownState.js'
 import type { Counters } from '../observe/Counters.js'
-import { refusalCounter, retryCounter } from '../observe/declareCounters.js'
+import { retryCounter } from '../observe/declareCounters.js'
 import type { Log } from '../observe/Log.js'
 import { Admission } from '../placement/AdmissionQueue.js'
 import { choosePlacement } from '../placement/choosePlacement.js'
@@ -15,11 +15,11 @@
 import type { PoisonGuard } from '../relay/PoisonGuard.js'
 import { answerUnknown, refuse } from '../relay/refuse.js'
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
+import { noteAnswer } from './noteAnswer.js'
 import { Outcome } from '../types/Outcome.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { RequestClass } from '../types/RequestClass.js'
 import { RetryReason } from '../types/RetryReason.js'
-import { Step } from '../types/Step.js'
 import type { CrashWatch } from './CrashWatch.js'
 import { describeTicket } from './describeTicket.js'
 import type { EntryRequest } from './EntryRequest.js'
@@ -38,10 +38,11 @@
 /** What an entry relay works with. */
 export interface EntryRelayOptions {
   hostName: string
+  region: string
   known: KnownState
   loads: UpstreamLoads
   admission: ServiceAdmission
-  connections: UpstreamConnections
+  connections: Pick<UpstreamConnections, 'to'>
   protocol: UpstreamProtocol
   poison: PoisonGuard
   crashes: CrashWatch
@@ -76,7 +77,7 @@
     const track = new RequestTrack(service, fingerprintRequest({ service, method: request.method, path: request.path, body: request.body }))
     this.#retryShare(service).noteRequest(performance.now())
     const answer = await this.#admit(request, track)
-    this.#note(request, track, answer)
+    noteAnswer(this.#options, request, track, answer)
     return answer
   }
 
@@ -114,6 +115,7 @@
       service: track.service,
       placementKey: route.sticky && objectKey !== undefined ? `${route.name}|${objectKey}` : request.id,
       homeRegions: route.homeRegions,
+      region: this.#options.region,
       tried: track.tried,
       regionOf,
       mayUseCold: (record) => this.#mayUseCold(record)
@@ -174,22 +176,29 @@
   #takeAnswer (request: EntryRequest, track: RequestTrack, record: UpstreamRecord, answer: ExchangeAnswer): RelayAnswer | undefined {
     const { protocol, loads, known } = this.#options
     const load = loads.of(record.id)
+    const now = performance.now()
     const report = protocol.readLoad(answer)
-    if (report !== undefined) load.noteReport(report, performance.now())
+    if (report !== undefined) load.noteReport(report, now)
     const kind = protocol.judge(request, answer)
     if (kind === AnswerKind.Own) {
-      load.noteSuccess()
+      load.noteSuccess(now)
       track.sends += 1
       const { status, headers, body, endsWithConnection } = answer
       return { outcome: Outcome.Ran, reason: undefined, status, headers, body, endsWithConnection, pool: undefined }
     }
     discard(answer)
     track.sends += 1
-    if (kind === AnswerKind.OtherUpstream) known.forget(record.id)
     if (kind === AnswerKind.Foreign) {
-      load.noteFailure(performance.now())
+      load.noteFailure(now)
       track.noteLost(RefusalReason.AnswerLost)
-    } else track.noteNotRun(RefusalReason.Shed, RetryReason.Shed)
+      return undefined
+    }
+    if (kind === AnswerKind.OtherUpstream) known.forget(record.id)
+    // An upstream that refuses although it has room may take the next try; elsewhere the object is not warm.
+    const hadRoom = kind === AnswerKind.NotRun && load.noteRefusal(now)
+    // An upstream that refuses although it has room may take the next try; elsewhere the object is not warm.
+    if (hadRoom) track.tried.delete(record.id)
+    track.noteNotRun(hadRoom ? RefusalReason.ShedWithRoom : RefusalReason.Shed, RetryReason.Shed)
     return undefined
   }
 
@@ -232,31 +241,6 @@
     }
     return share
   }
-
-  #note (request: EntryRequest, track: RequestTrack, answer: RelayAnswer): void {
-    const { counters, log, known } = this.#options
-    if (answer.reason !== undefined) counters.increment(refusalCounter(answer.reason))
-    const fields = {
-      step: Step.Answer,
-      request: request.id,
-      route: request.route.name,
-      service: track.service,
-      plan: known.plan?.version,
-      tried: [...track.tried].join(','),
-      object: request.objectKey,
-      waited: track.waited,
-      rank: track.rank,
-      fill: track.fill,
-      sends: track.sends,
-      outcome: answer.outcome,
-      reason: answer.reason,
-      cause: track.cause,
-      status: answer.status,
-      took: Math.round(performance.now() - request.arrivedAt)
-    }
-    if (answer.outcome === Outcome.Ran) log.info('request-answered', fields)
-    else log.warn('request-failed', fields)
-  }
 }
 
 /** Lets go of an answer that is not for the guest. */
--- a/src/entry/GuestListener.ts
+++ b/src/entry/GuestListener.ts
@@ -106,7 +106,7 @@
 
   #describeRefusal (response: ServerResponse, status: number, reason: RefusalReason, remaining: number): void {
     response.setHeader('hibiscusrelay-reason', reason)
-    if (status === STATUS_UNAVAILABLE) response.setHeader('retry-after', String(chooseRetryAfter(Math.max(0, remaining), this.#options.random())))
+    if (status === STATUS_UNAVAILABLE) response.setHeader('retry-after', String(chooseRetryAfter(reason, Math.max(0, remaining), this.#options.random())))
   }
 
   #refuse (message: IncomingMessage, response: ServerResponse, reason: RefusalReason): void {
--- a/src/entry/ServiceAdmission.ts
+++ b/src/entry/ServiceAdmission.ts
@@ -2,6 +2,7 @@
 import { DemandMeter } from '../limits/DemandMeter.js'
 import { AdmissionQueue } from '../placement/AdmissionQueue.js'
 import { shareOfSlots } from '../placement/shareOfSlots.js'
+import type { UpstreamLoads } from './UpstreamLoads.js'
 
 /** Time over which demand is counted: long enough for some requests at each host, short enough to follow a shift. */
 const DEMAND_MILLISECONDS = 1_500
@@ -16,11 +17,16 @@
 /** Bounds the requests that this host has under way at each service by its share of the slots. */
 export class ServiceAdmission {
   readonly #known: KnownState
+  readonly #loads: UpstreamLoads
   readonly #gates = new Map<string, ServiceGate>()
 
-  /** @param known - upstreams, and the demand of all hosts */
-  constructor (known: KnownState) {
+  /**
+   * @param known - upstreams, and the demand of all hosts
+   * @param loads - what this host saw of the upstreams
+   */
+  constructor (known: KnownState, loads: UpstreamLoads) {
     this.#known = known
+    this.#loads = loads
     setInterval(() => { for (const { queue } of this.#gates.values()) queue.admitWaiting() }, REVIEW_MILLISECONDS).unref()
   }
 
@@ -48,7 +54,7 @@
   #limit (service: string, demand: DemandMeter): number {
     const now = performance.now()
     const slots = this.#known.listReady(service)
-      .filter(({ record, coldUntil }) => coldUntil <= now && !this.#known.isEvacuated(record.domain) && !this.#known.isLost(record.id))
+      .filter(({ record, coldUntil }) => coldUntil <= now && !this.#known.isEvacuated(record.domain) && !this.#loads.isLost(record.id))
       .reduce((sum, { record }) => sum + record.slots, 0)
     return shareOfSlots({ slots, ownDemand: demand.read(), totalDemand: this.#known.demandOf(service), entryHosts: this.#known.entryHostsHeard })
   }
--- a/src/entry/UpstreamLoads.ts
+++ b/src/entry/UpstreamLoads.ts
@@ -1,9 +1,16 @@
+import type { KnownState } from '../follow/KnownState.js'
 import { UpstreamLoad } from '../placement/UpstreamLoad.js'
 
 /** What this host knows of the load of each upstream. */
 export class UpstreamLoads {
+  readonly #known: KnownState
   readonly #loads = new Map<string, UpstreamLoad>()
 
+  /** @param known - what control hosts tell of upstreams */
+  constructor (known: KnownState) {
+    this.#known = known
+  }
+
   /** @returns the load of an upstream */
   of (id: string): UpstreamLoad {
     let load = this.#loads.get(id)
@@ -14,6 +21,14 @@
     return load
   }
 
+  /**
+   * Tells whether an upstream counts as lost. Control hosts that are cut off from each other hear only a part of the
+   * upstreams, so an answer to this host goes before their silence.
+   */
+  isLost (id: string): boolean {
+    return this.#known.isLost(id) && !this.of(id).isAlive(performance.now())
+  }
+
   /** Forgets upstreams without requests that are not in use any more. */
   keepOnly (isInUse: (id: string) => boolean): void {
     for (const [id, { inFlight }] of this.#loads) {
--- a/src/entry/listCandidates.ts
+++ b/src/entry/listCandidates.ts
@@ -1,5 +1,8 @@
 import type { KnownState } from '../follow/KnownState.js'
+import { orderRegions } from '../placement/orderRegions.js'
 import type { RankedCandidate } from '../placement/RankedCandidate.js'
+import { weighRegions } from '../placement/weighRegions.js'
+import type { UpstreamEntry } from '../registry/UpstreamEntry.js'
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
 import { hashKey, scoreOf } from '../steering/RendezvousItems.js'
 import { hashText } from '../utils/hashText.js'
@@ -16,6 +19,8 @@
   /** What the upstreams are ordered by: the same key always meets the same order. */
   placementKey: string
   homeRegions: readonly string[]
+  /** Region of this host, and so of its guests. */
+  region: string
   /** Upstreams that were tried already. */
   tried: ReadonlySet<string>
   regionOf: (domain: string) => string | undefined
@@ -35,10 +40,29 @@
     if (tried.has(record.id) || known.isEvacuated(record.domain)) return false
     return homeRegions.length === 0 || homeRegions.includes(regionOf(record.domain) ?? '')
   })
-  const isSound = (id: string): boolean => !known.isLost(id) && !loads.of(id).isAvoided(now)
+  // One request at a time finds out whether an upstream that control hosts don't hear is lost.
+  const isSound = (id: string): boolean => (!loads.isLost(id) || loads.of(id).inFlight === 0) && !loads.of(id).isAvoided(now)
   const sound = allowed.filter(({ record }) => isSound(record.id))
+  const weights = weighRegions({ home: question.region, slots: sumSlots(sound.length > 0 ? sound : allowed, regionOf), demand: known.demandPartsOf(question.service) })
+  const regions = orderRegions(key, weights)
   return (sound.length > 0 ? sound : allowed)
     .filter(({ record, coldUntil }) => coldUntil <= now || mayUseCold(record))
-    .map(({ record, coldUntil }) => ({ record, isCold: coldUntil > now, utilization: loads.of(record.id).utilization(record.slots, now), score: scoreOf(key, hashText(record.id)) }))
-    .sort((left, right) => right.score - left.score)
+    .map(({ record, coldUntil }) => ({
+      record,
+      isCold: coldUntil > now,
+      utilization: loads.of(record.id).utilization(record.slots, now),
+      regionRank: regions.indexOf(regionOf(record.domain) ?? ''),
+      score: scoreOf(key, hashText(record.id))
+    }))
+    .sort((left, right) => left.regionRank - right.regionRank || right.score - left.score)
+}
+
+/** @returns slots of the upstreams in each region */
+function sumSlots (upstreams: readonly UpstreamEntry[], regionOf: CandidateQuestion['regionOf']): Map<string, number> {
+  const slots = new Map<string, number>()
+  for (const { record } of upstreams) {
+    const region = regionOf(record.domain) ?? ''
+    slots.set(region, (slots.get(region) ?? 0) + record.slots)
+  }
+  return slots
 }
--- a/src/follow/FollowMessages.ts
+++ b/src/follow/FollowMessages.ts
@@ -1,6 +1,6 @@
 import type { RoutingPlan } from '../plan/RoutingPlan.js'
 import type { ControlHost } from '../registry/ControlHost.js'
-import type { EntryHost } from '../registry/EntryHost.js'
+import type { EntryHost, RegionDemand } from '../registry/EntryHost.js'
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
 import type { PoisonRecord } from '../relay/PoisonGuard.js'
 
@@ -46,8 +46,7 @@
   isCurrent: boolean
   /** Entry hosts heard lately by the control hosts together. */
   entryHosts: number
-  /** Requests per second for each service at all of them. */
-  demand: Record<string, number>
+  demand: RegionDemand
   /** All control hosts. */
   controlHosts: ControlHost[]
   losses: PoisonRecord[]
--- /dev/null
+++ b/src/follow/HeldDemand.ts
@@ -0,0 +1,34 @@
+import type { RegionDemand } from '../registry/EntryHost.js'
+
+/** Time in which a held peak falls to a third: a cut between control hosts takes some seconds to heal. */
+const HOLD_MILLISECONDS = 4_000
+
+/**
+ * Demand for each service at all entry hosts. Control hosts that are cut off from each other hear only a part of the
+ * entry hosts; a sum that falls at once would let each host take more than its share, so peaks fade slowly.
+ */
+export class HeldDemand {
+  readonly #peaks = new Map<string, { perSecond: number, at: number }>()
+
+  /**
+   * Takes in the present demand.
+   *
+   * @param demand - requests per second of each region
+   * @param now - on the clock of `performance.now()`
+   */
+  update (demand: RegionDemand, now: number): void {
+    const sums = new Map<string, number>()
+    for (const services of Object.values(demand)) {
+      for (const [service, perSecond] of Object.entries(services)) sums.set(service, (sums.get(service) ?? 0) + perSecond)
+    }
+    for (const [service, perSecond] of sums) {
+      if (perSecond >= this.of(service, now)) this.#peaks.set(service, { perSecond, at: now })
+    }
+  }
+
+  /** @returns requests per second for a service */
+  of (service: string, now: number): number {
+    const peak = this.#peaks.get(service)
+    return peak === undefined ? 0 : peak.perSecond * Math.exp((peak.at - now) / HOLD_MILLISECONDS)
+  }
+}
--- a/src/follow/KnownState.ts
+++ b/src/follow/KnownState.ts
@@ -4,6 +4,8 @@
 import type { UpstreamEntry } from '../registry/UpstreamEntry.js'
 import { isGone, UpstreamReadiness } from '../registry/UpstreamRecord.js'
 import type { FollowReply } from './FollowMessages.js'
+import { HeldDemand } from './HeldDemand.js'
+import { SmoothedDemand } from './SmoothedDemand.js'
 
 /** Time in which all entry hosts report, and control hosts tell each other of them. */
 const COUNTING_MILLISECONDS = 2_500
@@ -19,7 +21,8 @@
   #lost = new Set<string>()
   #byService: Map<string, UpstreamEntry[]> | undefined
   #entryHosts = 0
-  #demand: Record<string, number> = {}
+  readonly #heldDemand = new HeldDemand()
+  readonly #smoothedDemand = new SmoothedDemand()
   #followedSince: number | undefined
 
   /**
@@ -36,9 +39,14 @@
     return Math.max(1, this.#entryHosts)
   }
 
-  /** @returns requests per second for a service at all entry hosts, as last told */
+  /** @returns requests per second for a service at all entry hosts */
   demandOf (service: string): number {
-    return this.#demand[service] ?? 0
+    return this.#heldDemand.of(service, performance.now())
+  }
+
+  /** @returns the part of each region in the demand for a service, smoothed over some seconds */
+  demandPartsOf (service: string): ReadonlyMap<string, number> {
+    return this.#smoothedDemand.of(service)
   }
 
   get plan (): RoutingPlan | undefined {
@@ -72,7 +80,8 @@
   merge (reply: FollowReply): boolean {
     this.#followedSince ??= performance.now()
     this.#entryHosts = Math.max(this.#entryHosts, reply.entryHosts)
-    this.#demand = reply.demand
+    this.#heldDemand.update(reply.demand, performance.now())
+    this.#smoothedDemand.update(reply.demand, performance.now())
     this.#mergeEvacuations(reply)
     for (const { record, isLost } of reply.upstreams) {
       this.upstreams.merge(record)
--- a/src/placement/RetryShare.ts
+++ b/src/placement/RetryShare.ts
@@ -1,7 +1,9 @@
 /** Length of the window in which requests and retries are compared, in slices of a second. */
 const SLICE_MILLISECONDS = 1_000
-/** Part of the bound that hosts use: each counts by itself, and one that restarts forgets what it has spent. */
-const SAFETY_SHARE = 0.5
+/** Part of the ratio that hosts use; the rest is for windows that begin and end elsewhere than the slices here. */
+const RATIO_SHARE = 0.8
+/** Part of the allowance that hosts use: one that restarts forgets what it has spent, and spends as much again. */
+const ALLOWANCE_SHARE = 0.5
 
 /** The bound on retries that all hosts share. */
 export interface RetryBound {
@@ -46,7 +48,7 @@
     const { ratio, allowance } = this.#bound
     const requests = this.#slices.reduce((sum, each) => sum + each.requests, 0)
     const retries = this.#slices.reduce((sum, each) => sum + each.retries, 0)
-    if (retries + 1 > SAFETY_SHARE * (ratio * requests + allowance / Math.max(1, entryHosts))) return false
+    if (retries + 1 > RATIO_SHARE * ratio * requests + ALLOWANCE_SHARE * allowance / Math.max(1, entryHosts)) return false
     slice.retries += 1
     return true
   }
--- a/src/placement/UpstreamLoad.ts
+++ b/src/placement/UpstreamLoad.ts
@@ -2,6 +2,12 @@
 
 /** A report older than this says nothing of the present: warm work takes some 200 to 300 ms. */
 const REPORT_MILLISECONDS = 1_500
+/** Time in which a queue that was told of has run: hosts that saw it send elsewhere meanwhile. */
+const QUEUE_MILLISECONDS = 500
+/** An upstream that answered this host within so long is alive, whatever control hosts hear of it. */
+const ALIVE_MILLISECONDS = 3_000
+/** Weight of the newest answer in the part of requests that an upstream refuses although it has room. */
+const REFUSAL_WEIGHT = 0.2
 const FIRST_AVOIDANCE_MILLISECONDS = 250
 const LONGEST_AVOIDANCE_MILLISECONDS = 4_000
 
@@ -14,6 +20,8 @@
   #startedSinceReport = 0
   #avoidUntil = Number.NEGATIVE_INFINITY
   #failures = 0
+  #answeredAt = Number.NEGATIVE_INFINITY
+  #refusedPart = 0
 
   /** Notes that a request is sent. */
   start (): void {
@@ -40,8 +48,34 @@
     this.#avoidUntil = now + milliseconds
   }
 
-  noteSuccess (): void {
+  /** Notes an answer to a request that the upstream ran. */
+  noteSuccess (now: number): void {
     this.#failures = 0
+    this.#answeredAt = now
+    this.#refusedPart *= 1 - REFUSAL_WEIGHT
+  }
+
+  /**
+   * Notes that the upstream refused a request without running it.
+   *
+   * @returns whether it had room, so that the refusal says nothing of its load
+   */
+  noteRefusal (now: number): boolean {
+    this.#failures = 0
+    this.#answeredAt = now
+    const hadRoom = this.#report !== undefined && this.#reportedAt === now && this.#report.running < this.#report.slots
+    if (hadRoom) this.#refusedPart += REFUSAL_WEIGHT * (1 - this.#refusedPart)
+    return hadRoom
+  }
+
+  /** Part of the latest requests that it refused although it had room. */
+  get refusedPart (): number {
+    return this.#refusedPart
+  }
+
+  /** Whether it answered this host lately. */
+  isAlive (now: number): boolean {
+    return now - this.#answeredAt < ALIVE_MILLISECONDS
   }
 
   /** Whether it failed so lately that another one is the better choice. */
@@ -57,8 +91,10 @@
    * @returns requests that it runs or that wait there, per slot
    */
   utilization (slots: number, now: number): number {
-    if (this.#report === undefined || now - this.#reportedAt > REPORT_MILLISECONDS) return this.inFlight / slots
+    const age = now - this.#reportedAt
+    if (this.#report === undefined || age > REPORT_MILLISECONDS) return this.inFlight / slots
     const { running, waiting } = this.#report
-    return Math.max(this.inFlight, running + waiting + this.#startedSinceReport) / slots
+    const stillWaiting = waiting * Math.max(0, 1 - age / QUEUE_MILLISECONDS)
+    return Math.max(this.inFlight, running + stillWaiting + this.#startedSinceReport) / slots
   }
 }
--- a/src/placement/choosePlacement.ts
+++ b/src/placement/choosePlacement.ts
@@ -1,31 +1,33 @@
 import type { RankedCandidate } from './RankedCandidate.js'
 
-/** Fill above which the next copy is used; the rest is room for what other hosts send meanwhile. */
-const FULL_UTILIZATION = 0.85
+/** Fill up to which an object stays with the first upstream of its order: a queue of half the slots costs less than a cold run. */
+const FIRST_UTILIZATION = 1.5
+/** Fill below which the second upstream of the order relieves the first. */
+const SECOND_UTILIZATION = 1
 /** Fill above which an upstream is about to shed: its queue takes some three times its slots. */
 const SHED_UTILIZATION = 2
-/** Copies of an object's state that load may spread over: each one more is a cold run more. */
-const COPIES = 3
+/** Upstreams that share one object. */
+const COPIES = 2
 
 /**
  * Chooses the upstream for one request.
  *
- * Load pattern: work on an object takes a third of the time where the object was handled lately, an upstream remembers
- * some 40 objects, and the slots of all together are fewer than cold work would need. So an object stays with the first
- * upstreams of its order, and moves down the order only as far as fill demands it: overflow to any upstream with a free
- * slot makes each of them forget what it holds.
+ * Load pattern: work on an object takes a third of the time where the object was handled lately, and the slots of all
+ * upstreams together are fewer than cold work needs. Each copy more costs a cold run, cold runs fill the slots, and full
+ * slots push objects to further copies, until nothing is warm and the load that fitted no longer does. So an object has
+ * one upstream, and a second one only while the first is overloaded; what neither takes is refused rather than run cold
+ * on upstreams that are busy.
  *
  * @param candidates - upstreams that may take the request, in the order of the object
- * @returns the upstream, undefined when all are about to shed
+ * @returns the upstream, undefined when those of the object are about to shed
  */
 export function choosePlacement<Candidate extends RankedCandidate> (candidates: readonly Candidate[]): Candidate | undefined {
   const warm = candidates.filter((candidate) => !candidate.isCold)
-  const copies = warm.slice(0, COPIES)
-  return copies.find(({ utilization }) => utilization < FULL_UTILIZATION) ??
-    leastUtilized(copies, 1) ??
-    warm.find(({ utilization }) => utilization < 1) ??
-    leastUtilized(candidates, 1) ??
-    leastUtilized(candidates, SHED_UTILIZATION)
+  if (warm.length === 0) return leastUtilized(candidates, SHED_UTILIZATION)
+  const [first, second] = warm
+  if (first!.utilization < FIRST_UTILIZATION) return first
+  if (second !== undefined && second.utilization < SECOND_UTILIZATION) return second
+  return leastUtilized(warm.slice(0, COPIES), SHED_UTILIZATION)
 }
 
 function leastUtilized<Candidate extends RankedCandidate> (candidates: readonly Candidate[], below: number): Candidate | undefined {
--- a/src/placement/chooseRetryAfter.ts
+++ b/src/placement/chooseRetryAfter.ts
@@ -1,18 +1,28 @@
+import { RefusalReason } from '../types/RefusalReason.js'
+
 /** Time in which a full upstream gets room: about one run of warm work. */
 const ROOM_MILLISECONDS = 300
 /** Width over which guests that were refused together come back. */
 const SPREAD_MILLISECONDS = 700
+/** The same for refusals that no lack of room caused: another try is as good at once. */
+const PROMPT_MILLISECONDS = 20
+const PROMPT_SPREAD_MILLISECONDS = 80
+
+const PROMPT_REASONS = new Set([RefusalReason.ShedWithRoom, RefusalReason.UpstreamUnreachable])
 
 /**
  * Chooses when a refused guest should come back.
  *
- * Load pattern: a burst is refused within some milliseconds; without a spread its guests come back as the same burst.
+ * Load patterns: a burst is refused within some milliseconds, and without a spread its guests come back as the same
+ * burst. Upstreams that refuse a part of their requests although they have room: a wait gains nothing, and makes the
+ * answer late.
  *
+ * @param reason - why the guest was refused
  * @param remainingMilliseconds - what is left of the guest's time
  * @param draw - a number from 0 up to but not including 1
  * @returns seconds
  */
-export function chooseRetryAfter (remainingMilliseconds: number, draw: number): number {
-  const wanted = ROOM_MILLISECONDS + draw * SPREAD_MILLISECONDS
+export function chooseRetryAfter (reason: RefusalReason, remainingMilliseconds: number, draw: number): number {
+  const wanted = PROMPT_REASONS.has(reason) ? PROMPT_MILLISECONDS + draw * PROMPT_SPREAD_MILLISECONDS : ROOM_MILLISECONDS + draw * SPREAD_MILLISECONDS
   return Math.round(Math.min(wanted, remainingMilliseconds / 3)) / 1000
 }
--- /dev/null
+++ b/src/placement/orderRegions.ts
@@ -0,0 +1,19 @@
+import { scoreOf } from '../steering/RendezvousItems.js'
+import { hashText } from '../utils/hashText.js'
+
+const HASH_RANGE = 2 ** 32
+
+/**
+ * Orders regions for one object, so that of many objects each region comes first for its weight's part, and a change of
+ * weights moves only as many objects as it must.
+ *
+ * @param keyHash - hash of the object
+ * @param weights - a weight for each region
+ * @returns the regions, best first
+ */
+export function orderRegions (keyHash: number, weights: ReadonlyMap<string, number>): string[] {
+  return [...weights]
+    .map(([region, weight]) => ({ region, score: weight / -Math.log((scoreOf(keyHash, hashText(region)) + 0.5) / HASH_RANGE) }))
+    .sort((left, right) => right.score - left.score)
+    .map(({ region }) => region)
+}
--- a/src/registry/EntryHost.ts
+++ b/src/registry/EntryHost.ts
@@ -10,3 +10,6 @@
   /** Requests per second for each service that guests send to it. */
   demand: Record<string, number>
 }
+
+/** Requests per second of each region for each service. */
+export type RegionDemand = Record<string, Record<string, number>>
--- a/src/registry/EntryHostTable.ts
+++ b/src/registry/EntryHostTable.ts
@@ -1,4 +1,4 @@
-import type { EntryHost } from './EntryHost.js'
+import type { EntryHost, RegionDemand } from './EntryHost.js'
 
 /** Silence after which an entry host is no longer named; entry hosts report about twice a second. */
 const NAMED_MILLISECONDS = 2_500
@@ -32,11 +32,12 @@
     return this.#listHeard().length
   }
 
-  /** @returns requests per second for each service at all hosts heard lately */
-  sumDemand (): Record<string, number> {
-    const sums: Record<string, number> = {}
-    for (const { demand } of this.#listHeard()) {
-      for (const [service, perSecond] of Object.entries(demand)) sums[service] = Math.round(((sums[service] ?? 0) + perSecond) * 10) / 10
+  /** @returns requests per second of each region for each service, at all hosts heard lately */
+  sumDemand (): RegionDemand {
+    const sums: RegionDemand = {}
+    for (const { region, demand } of this.#listHeard()) {
+      const services = sums[region] ??= {}
+      for (const [service, perSecond] of Object.entries(demand)) services[service] = Math.round(((services[service] ?? 0) + perSecond) * 10) / 10
     }
     return sums
   }
--- a/src/types/RefusalReason.ts
+++ b/src/types/RefusalReason.ts
@@ -20,6 +20,8 @@
   PlaceCap = 'place-cap',
   LinkBudget = 'link-budget',
   Shed = 'shed',
+  /** An upstream refused it although it had room. */
+  ShedWithRoom = 'shed-with-room',
   LeaseLost = 'lease-lost',
   OwnerUnreachable = 'owner-unreachable',
   UpstreamUnreachable = 'upstream-unreachable',
