--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -110,10 +110,10 @@
 
   #place (request: EntryRequest, track: RequestTrack): PlacementCandidate | undefined {
     const { known, loads, regionOf } = this.#options
-    const { route, objectKey } = request
+    const { route } = request
     const candidates = listCandidates(known, loads, {
       service: track.service,
-      placementKey: route.sticky && objectKey !== undefined ? `${route.name}|${objectKey}` : request.id,
+      placementKey: placementKeyOf(request),
       homeRegions: route.homeRegions,
       region: this.#options.region,
       tried: track.tried,
@@ -182,6 +182,7 @@
     const kind = protocol.judge(request, answer)
     if (kind === AnswerKind.Own) {
       load.noteSuccess(now)
+      loads.warmCopies.note(placementKeyOf(request), record.id, now)
       track.sends += 1
       const { status, headers, body, endsWithConnection } = answer
       return { outcome: Outcome.Ran, reason: undefined, status, headers, body, endsWithConnection, pool: undefined }
@@ -247,3 +248,8 @@
 function discard ({ body }: ExchangeAnswer): void {
   if (!Buffer.isBuffer(body)) body.destroy()
 }
+
+/** @returns what the upstreams of a request are ordered by */
+function placementKeyOf ({ id, route, objectKey }: EntryRequest): string {
+  return route.sticky && objectKey !== undefined ? `${route.name}|${objectKey}` : id
+}
--- a/src/entry/UpstreamLoads.ts
+++ b/src/entry/UpstreamLoads.ts
@@ -1,9 +1,12 @@
 import type { KnownState } from '../follow/KnownState.js'
+import { WarmCopies } from '../placement/WarmCopies.js'
 import { UpstreamLoad } from '../placement/UpstreamLoad.js'
 
 /** What this host knows of the load of each upstream. */
 export class UpstreamLoads {
   readonly #known: KnownState
+  /** Where objects were handled lately. */
+  readonly warmCopies = new WarmCopies()
   readonly #loads = new Map<string, UpstreamLoad>()
 
   /** @param known - what control hosts tell of upstreams */
--- a/src/entry/listCandidates.ts
+++ b/src/entry/listCandidates.ts
@@ -50,6 +50,7 @@
     .map(({ record, coldUntil }) => ({
       record,
       isCold: coldUntil > now,
+      isWarm: loads.warmCopies.isWarm(question.placementKey, record.id, now),
       utilization: loads.of(record.id).utilization(record.slots, now),
       regionRank: regions.indexOf(regionOf(record.domain) ?? ''),
       score: scoreOf(key, hashText(record.id))
--- a/src/placement/choosePlacement.ts
+++ b/src/placement/choosePlacement.ts
@@ -1,9 +1,9 @@
 import type { RankedCandidate } from './RankedCandidate.js'
 
-/** Fill up to which an object stays with the first upstream of its order: a queue of half the slots costs less than a cold run. */
-const FIRST_UTILIZATION = 1.5
-/** Fill below which the second upstream of the order relieves the first. */
-const SECOND_UTILIZATION = 1
+/** Fill at which all slots are taken. */
+const FULL_UTILIZATION = 1
+/** Fill up to which an object waits where it is warm: a queue of half the slots costs less than a cold run. */
+const QUEUE_UTILIZATION = 1.5
 /** Fill above which an upstream is about to shed: its queue takes some three times its slots. */
 const SHED_UTILIZATION = 2
 /** Upstreams that share one object. */
@@ -16,7 +16,7 @@
  * upstreams together are fewer than cold work needs. Each copy more costs a cold run, cold runs fill the slots, and full
  * slots push objects to further copies, until nothing is warm and the load that fitted no longer does. So an object has
  * one upstream, and a second one only while the first is overloaded; what neither takes is refused rather than run cold
- * on upstreams that are busy.
+ * on upstreams that are busy. Upstreams where the object is warm anyway, as after a change of the order, share its load.
  *
  * @param candidates - upstreams that may take the request, in the order of the object
  * @returns the upstream, undefined when those of the object are about to shed
@@ -25,9 +25,11 @@
   const warm = candidates.filter((candidate) => !candidate.isCold)
   if (warm.length === 0) return leastUtilized(candidates, SHED_UTILIZATION)
   const [first, second] = warm
-  if (first!.utilization < FIRST_UTILIZATION) return first
-  if (second !== undefined && second.utilization < SECOND_UTILIZATION) return second
-  return leastUtilized(warm.slice(0, COPIES), SHED_UTILIZATION)
+  if (first!.utilization < FULL_UTILIZATION) return first
+  const warmCopies = warm.filter(({ isWarm }, index) => isWarm || index === 0)
+  return leastUtilized(warmCopies, QUEUE_UTILIZATION) ??
+    (second !== undefined && second.utilization < FULL_UTILIZATION ? second : undefined) ??
+    leastUtilized(warm.filter(({ isWarm }, index) => isWarm || index < COPIES), SHED_UTILIZATION)
 }
 
 function leastUtilized<Candidate extends RankedCandidate> (candidates: readonly Candidate[], below: number): Candidate | undefined {
