Recall the applied plan and the known upstreams after a restart of a control host

Ruled out: start-up of the processes (0.5 to 0.85 s), election (0.7 s) as the only cause. Change: each control host keeps the plan, the evacuations and the upstreams that it has applied or heard in a file of its own, and tells them until it knows newer ones. Only what was committed is kept. Reads of the plan wait for a leader as before. Recalled upstreams that do not announce themselves within two periods count as lost. Weighed: applying the log up to a durable commit position (changes the replica's storage, and leaves the upstreams unknown); entry hosts keep it themselves (they have no disk). Also removed: a count of refusals that nothing used.

--- /dev/null
+++ b/__tests__/control/RecoveryFile.test.ts
@@ -0,0 +1,96 @@
+import assert from 'node:assert/strict'
+import { test, type TestContext } from 'node:test'
+import { RecoveryFile, type RecoveryRecord } from '../../src/control/RecoveryFile.js'
+import { RecalledPlans } from '../../src/plan/RecalledPlans.js'
+import { UpstreamTable } from '../../src/registry/UpstreamTable.js'
+import { UpstreamReadiness } from '../../src/registry/UpstreamRecord.js'
+import { MemoryFiles } from '../agreement/support/MemoryFiles.js'
+import { planOf } from '../plan/planOf.js'
+import { recordOf } from '../registry/recordOf.js'
+import { advance, pauseClock } from '../support/pauseClock.js'
+
+const LOST_MILLISECONDS = 4_500
+
+interface Kept {
+  files: MemoryFiles
+  file: RecoveryFile
+  warnings: string[]
+}
+
+function keep (files: MemoryFiles, describe: () => RecoveryRecord): Kept {
+  const warnings: string[] = []
+  const log = { info: () => {}, warn: (event: string) => { warnings.push(event) }, error: () => {} }
+  return { files, file: new RecoveryFile({ files, folder: '/data', describe, log }), warnings }
+}
+
+function recordWith (version: number): RecoveryRecord {
+  return { plan: planOf(version), evacuated: ['gijon'], evacuationRevision: 7, upstreams: [recordOf()] }
+}
+
+function versionOf ({ plan }: RecalledPlans): number | undefined {
+  return plan?.version
+}
+
+test('a host that starts anew recalls the last state that was written, changes in quick succession as one', async (context: TestContext) => {
+  pauseClock(context)
+  let version = 1
+  const { files, file } = keep(new MemoryFiles(() => 0), () => recordWith(version))
+  file.noteChange()
+  version = 2
+  file.noteChange()
+  await advance(context, 200)
+  const recalled = await keep(files, () => recordWith(0)).file.read()
+  assert.equal(recalled?.plan?.version, 2)
+  assert.deepEqual(recalled?.upstreams, [recordOf()])
+})
+
+test('a missing or torn file recalls nothing', async () => {
+  const { files, file, warnings } = keep(new MemoryFiles(() => 0), () => recordWith(1))
+  assert.equal(await file.read(), undefined)
+  const torn = await files.open('/data/recovery')
+  await torn.append(Buffer.from('torn'))
+  assert.equal(await file.read(), undefined)
+  assert.deepEqual(warnings, ['recovery-unreadable'])
+})
+
+test('plans that are recalled never go before newer ones that are applied', () => {
+  const applied = { plan: undefined as ReturnType<typeof planOf> | undefined, evacuated: [] as string[], evacuationRevision: 0 }
+  const plans = new RecalledPlans(applied)
+  assert.equal(plans.plan, undefined)
+  plans.recall(recordWith(4))
+  assert.equal(versionOf(plans), 4)
+  assert.deepEqual(plans.evacuated, ['gijon'])
+  applied.plan = planOf(3)
+  applied.evacuationRevision = 6
+  assert.equal(versionOf(plans), 4)
+  assert.equal(plans.evacuationRevision, 7)
+  applied.plan = planOf(5)
+  applied.evacuationRevision = 8
+  assert.equal(versionOf(plans), 5)
+  assert.deepEqual(plans.evacuated, [])
+})
+
+test('a recalled upstream that stays silent is lost within two of its periods; one that left stays gone', async (context: TestContext) => {
+  pauseClock(context)
+  const before = new UpstreamTable({ lostMilliseconds: LOST_MILLISECONDS })
+  before.merge(recordOf({ id: 'i-1', address: '127.0.0.9:1', coldMilliseconds: 2_000 }))
+  before.merge(recordOf({ id: 'i-2', address: '127.0.0.9:2' }))
+  before.remove('i-2')
+  await advance(context, 500, 100)
+  const after = new UpstreamTable({ lostMilliseconds: LOST_MILLISECONDS })
+  after.recall(before.describe())
+  assert.equal(after.get('i-1')!.coldUntil, performance.now() + 1_500)
+  assert.equal(after.get('i-2')!.record.readiness, UpstreamReadiness.Gone)
+  await advance(context, 2_900, 100)
+  assert.deepEqual(after.sweep(), [])
+  await advance(context, 200, 100)
+  assert.deepEqual(after.sweep(), ['i-1'])
+})
+
+test('a recalled upstream that announces itself goes on as it was', () => {
+  const after = new UpstreamTable({ lostMilliseconds: LOST_MILLISECONDS })
+  after.recall([recordOf({ sequence: 5 })])
+  const { revision } = after
+  assert.equal(after.merge(recordOf({ sequence: 9 })), false)
+  assert.equal(after.revision, revision)
+})
--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -7,9 +7,10 @@
 import { StateFeed } from '../follow/StateFeed.js'
 import type { Counters } from '../observe/Counters.js'
 import type { Log } from '../observe/Log.js'
-import type { PlanEntry } from '../plan/PlanEntry.js'
+import { PlanEntryKind, type PlanEntry } from '../plan/PlanEntry.js'
 import { PlanRegistry } from '../plan/PlanRegistry.js'
 import type { PlanResult } from '../plan/PlanResult.js'
+import { RecalledPlans } from '../plan/RecalledPlans.js'
 import { PlanState, type StoredPlanState } from '../plan/PlanState.js'
 import type { ControlHost } from '../registry/ControlHost.js'
 import { EntryHostTable } from '../registry/EntryHostTable.js'
@@ -21,6 +22,7 @@
 import { Step } from '../types/Step.js'
 import { pause } from '../utils/pause.js'
 import { ControlHostTable } from './ControlHostTable.js'
+import { RecoveryFile } from './RecoveryFile.js'
 import { ReplicaKeeper } from './ReplicaKeeper.js'
 
 /** Announcement periods of silence after which an upstream counts as lost. */
@@ -71,6 +73,8 @@
   readonly #feed: StateFeed
   readonly #sharer: RegistrySharer
   readonly #keeper: ReplicaKeeper
+  readonly #recovery: RecoveryFile
+  readonly #recalledPlans = new RecalledPlans(this.#state)
   #startedAt = Number.POSITIVE_INFINITY
 
   /** @param options - settings and transport */
@@ -83,6 +87,7 @@
     this.#feed = this.#createFeed()
     this.#sharer = this.#createSharer()
     this.#keeper = this.#createKeeper()
+    this.#recovery = this.#createRecovery()
     this.plans = new PlanRegistry({
       state: this.#state,
       propose: (entry) => this.#replica.propose(entry),
@@ -93,7 +98,7 @@
       upstreams: this.#table,
       sharer: this.#sharer,
       isKnownService: (service) => this.#isKnownService(service),
-      onChange: () => { this.#feed.announce() },
+      onChange: () => { this.#noteChange() },
       log: options.log
     })
   }
@@ -105,6 +110,7 @@
 
   /** Reads the disk; to be done before peers are answered. */
   async open (): Promise<void> {
+    await this.#recall()
     await this.#replica.open()
     this.#replica.start()
   }
@@ -140,7 +146,7 @@
       snapshot: () => this.#state.snapshot(),
       restore: (stored) => {
         this.#state.restore(stored as StoredPlanState | undefined)
-        this.#feed?.announce()
+        this.#noteChange()
       },
       random,
       makeIdentity: randomUUID,
@@ -152,7 +158,7 @@
   #apply (entry: PlanEntry, index: number): PlanResult {
     const before = this.#state.plan?.version
     const result = this.#state.apply(entry, index)
-    this.#feed.announce()
+    if (entry.kind !== PlanEntryKind.Barrier) this.#noteChange()
     const { plan, evacuated } = this.#state
     this.#options.log.info('entry-applied', { step: Step.PlanSubmit, kind: entry.kind, index, result, before, version: plan?.version, evacuated: evacuated.join(',') })
     return result
@@ -161,7 +167,7 @@
   #createFeed (): StateFeed {
     return new StateFeed({
       feed: randomUUID(),
-      plans: this.#state,
+      plans: this.#recalledPlans,
       upstreams: this.#table,
       entryHosts: this.entryHosts,
       losses: new LossBoard(),
@@ -187,7 +193,7 @@
       isOwnReport: (name) => this.#feed.isReporter(name),
       describeSelf: () => this.#describe(),
       onControlHost: (host) => { this.#hosts.hear(host) },
-      onChange: () => { this.#feed.announce() },
+      onChange: () => { this.#noteChange() },
       log
     })
   }
@@ -208,6 +214,33 @@
     })
   }
 
+  #createRecovery (): RecoveryFile {
+    const { settings, log } = this.#options
+    return new RecoveryFile({
+      files: diskFiles,
+      folder: settings().dataFolder,
+      describe: () => {
+        const { plan, evacuated, evacuationRevision } = this.#recalledPlans
+        return { plan, evacuated, evacuationRevision, upstreams: this.#table.describe() }
+      },
+      log
+    })
+  }
+
+  async #recall (): Promise<void> {
+    const record = await this.#recovery.read()
+    if (record === undefined) return
+    this.#recalledPlans.recall(record)
+    this.#table.recall(record.upstreams)
+    this.#options.log.info('state-recalled', { step: Step.Storage, plan: record.plan?.version, evacuated: record.evacuated.join(','), upstreams: record.upstreams.length })
+  }
+
+  /** Tells entry hosts of a change, and keeps it for a restart. */
+  #noteChange (): void {
+    this.#feed?.announce()
+    this.#recovery?.noteChange()
+  }
+
   #describe (): ControlHost {
     const { peerAddress, domain, region } = this.#options.settings()
     return { peerAddress, domain, region }
--- a/src/follow/StateFeed.ts
+++ b/src/follow/StateFeed.ts
@@ -1,4 +1,4 @@
-import type { PlanState } from '../plan/PlanState.js'
+import type { PlanSource } from '../plan/PlanSource.js'
 import type { ControlHost } from '../registry/ControlHost.js'
 import type { EntryHostTable } from '../registry/EntryHostTable.js'
 import type { UpstreamEntry } from '../registry/UpstreamEntry.js'
@@ -20,7 +20,7 @@
 export interface StateFeedOptions {
   /** Identifies this life of the control host. */
   feed: string
-  plans: PlanState
+  plans: PlanSource
   upstreams: UpstreamTable
   entryHosts: EntryHostTable
   losses: LossBoard
--- a/src/placement/UpstreamLoad.ts
+++ b/src/placement/UpstreamLoad.ts
@@ -6,8 +6,6 @@
 const QUEUE_MILLISECONDS = 500
 /** An upstream that answered this host within so long is alive, whatever control hosts hear of it. */
 const ALIVE_MILLISECONDS = 3_000
-/** Weight of the newest answer in the part of requests that an upstream refuses although it has room. */
-const REFUSAL_WEIGHT = 0.2
 const FIRST_AVOIDANCE_MILLISECONDS = 250
 const LONGEST_AVOIDANCE_MILLISECONDS = 4_000
 
@@ -21,7 +19,6 @@
   #avoidUntil = Number.NEGATIVE_INFINITY
   #failures = 0
   #answeredAt = Number.NEGATIVE_INFINITY
-  #refusedPart = 0
 
   /** Notes that a request is sent. */
   start (): void {
@@ -52,7 +49,6 @@
   noteSuccess (now: number): void {
     this.#failures = 0
     this.#answeredAt = now
-    this.#refusedPart *= 1 - REFUSAL_WEIGHT
   }
 
   /**
@@ -63,14 +59,7 @@
   noteRefusal (now: number): boolean {
     this.#failures = 0
     this.#answeredAt = now
-    const hadRoom = this.#report !== undefined && this.#reportedAt === now && this.#report.running < this.#report.slots
-    if (hadRoom) this.#refusedPart += REFUSAL_WEIGHT * (1 - this.#refusedPart)
-    return hadRoom
-  }
-
-  /** Part of the latest requests that it refused although it had room. */
-  get refusedPart (): number {
-    return this.#refusedPart
+    return this.#report !== undefined && this.#reportedAt === now && this.#report.running < this.#report.slots
   }
 
   /** Whether it answered this host lately. */
--- a/src/plan/PlanState.ts
+++ b/src/plan/PlanState.ts
@@ -1,5 +1,6 @@
 import { PlanEntryKind, type PlanEntry, type PlanSubmission } from './PlanEntry.js'
 import { PlanResult } from './PlanResult.js'
+import type { PlanSource } from './PlanSource.js'
 import type { RoutingPlan } from './RoutingPlan.js'
 
 /** Accepted submissions that are remembered, so that one sent again is acknowledged again. A day has some hundreds. */
@@ -14,7 +15,7 @@
 }
 
 /** Plans and evacuations, as every replica derives them from the log. */
-export class PlanState {
+export class PlanState implements PlanSource {
   #current: PlanSubmission | undefined
   #accepted = new Set<string>()
   #evacuated = new Set<string>()
--- a/src/registry/UpstreamTable.ts
+++ b/src/registry/UpstreamTable.ts
@@ -6,6 +6,9 @@
 /** Difference in the end of a cold phase below which followers need no update. */
 const COLD_TOLERANCE_MILLISECONDS = 500
 
+/** Time in which a recalled upstream must announce itself: two of its periods, within which it may have left unheard. */
+const RECALLED_MILLISECONDS = 3_000
+
 /** Periods of {@link UpstreamTable}. */
 export interface UpstreamTableTimings {
   /** Silence after which an upstream counts as lost. */
@@ -66,6 +69,22 @@
     return changed
   }
 
+  /**
+   * Takes over what was known before a restart. Upstreams that do not announce themselves soon count as lost.
+   *
+   * @param records - result of {@link describe}
+   */
+  recall (records: readonly UpstreamRecord[]): void {
+    const age = Math.max(0, this.#timings.lostMilliseconds - RECALLED_MILLISECONDS)
+    for (const record of records) this.merge({ ...record, coldMilliseconds: record.coldMilliseconds + age }, age)
+  }
+
+  /** @returns all records, with what is left of their cold phases now */
+  describe (): UpstreamRecord[] {
+    const now = performance.now()
+    return this.list().map(({ record, coldUntil }) => ({ ...record, coldMilliseconds: Math.max(0, Math.round(coldUntil - now)) }))
+  }
+
   /**
    * Notes that an upstream was heard with nothing new.
    *
