--- a/__performance_tests__/placement/main.ts
+++ b/__performance_tests__/placement/main.ts
@@ -1,29 +1,35 @@
-import { ModelDay, type ModelDaySettings } from './ModelDay.js'
+import { writeFileSync } from 'node:fs'
+import { defineCommand, runMain } from 'citty'
+import { ModelDay } from './ModelDay.js'
+import { modelPatterns } from './modelPatterns.js'
 import { modelSites } from './modelSites.js'
-
-/** Load of the users' worst days, as a multiple of the quiet day's. */
-const HIGH_LOAD = 1.37
-const SEEDS = Number(process.argv[2] ?? 2)
-
-const onlyPattern = process.argv[3]
-const patterns: Array<{ name: string, settings: Omit<ModelDaySettings, 'site' | 'seed'> }> = [
-  { name: 'quiet', settings: { load: 1, seconds: 16 } },
-  { name: 'high load', settings: { load: HIGH_LOAD, seconds: 20 } },
-  { name: 'burst', settings: { load: 1.85, seconds: 16 } },
-  { name: 'high load, sheds', settings: { load: HIGH_LOAD, seconds: 16, shed: { from: 6, to: 12, part: 0.55 } } },
-  { name: 'high load, hosts killed', settings: { load: HIGH_LOAD, seconds: 16, killAt: 6 } }
-]
+import { renderPage, type PageRow } from './renderPage.js'
 
 const percent = (part: number): string => `${Math.round(part * 100)}%`.padStart(5)
 
-for (const site of modelSites) {
-  for (const { name, settings } of patterns) {
-    if (onlyPattern !== undefined && !name.includes(onlyPattern)) continue
-    for (let seed = 1; seed <= SEEDS; seed += 1) {
-      const result = await new ModelDay({ ...settings, site, seed }).play()
-      const seconds = result.listSeconds().map((credit) => Math.round(credit * 100)).join(' ')
-      console.log(`${site.name.padEnd(12)} ${name.padEnd(24)} credit ${percent(result.credit)} served ${percent(result.served)} refused ${percent(result.refused)} warm ${percent(result.warm)} elsewhere ${percent(result.elsewhere)} worst domain ${percent(result.worstDomain)} by second ${seconds}`)
+const command = defineCommand({
+  meta: { name: 'model', description: 'Plays load patterns against the entry relay, its admission and placement, in one process' },
+  args: {
+    seeds: { type: 'string', default: '3', description: 'days of each pattern' },
+    pattern: { type: 'string', default: '', description: 'plays only patterns whose name holds this' },
+    page: { type: 'string', default: 'build/model.html', description: 'where the page with plots goes' }
+  },
+  run: async ({ args }) => {
+    const rows: PageRow[] = []
+    console.log('site         pattern                  seed credit served refused warm  elsewhere worst domain')
+    for (const site of modelSites) {
+      for (const { name, settings } of modelPatterns.filter((pattern) => pattern.name.includes(args.pattern))) {
+        for (let seed = 1; seed <= Number(args.seeds); seed += 1) {
+          const result = await new ModelDay({ ...settings, site, seed }).play()
+          rows.push({ site: site.name, pattern: name, seed, seconds: result.listSeconds() })
+          console.log(`${site.name.padEnd(12)} ${name.padEnd(24)} ${String(seed).padStart(4)} ${percent(result.credit)}  ${percent(result.served)}  ${percent(result.refused)}  ${percent(result.warm)} ${percent(result.elsewhere)}     ${percent(result.worstDomain)}`)
+        }
+      }
     }
+    writeFileSync(args.page, renderPage(rows))
+    console.log(`plots: ${args.page}`)
+    process.exit(0)
   }
-}
-process.exit(0)
+})
+
+await runMain(command)
--- /dev/null
+++ b/__performance_tests__/placement/renderPage.ts
@@ -0,0 +1,39 @@
+/** One day of the model in the page. */
+export interface PageRow {
+  site: string
+  pattern: string
+  seed: number
+  /** Credit earned of the credit owed, for each second. */
+  seconds: number[]
+}
+
+const WIDTH = 480
+const HEIGHT = 120
+
+/**
+ * @param rows - days of the model
+ * @returns an HTML page with one plot for each site and pattern: credit by second, a line for each seed
+ */
+export function renderPage (rows: readonly PageRow[]): string {
+  const groups = new Map<string, PageRow[]>()
+  for (const row of rows) {
+    const title = `${row.site}, ${row.pattern}`
+    groups.set(title, [...groups.get(title) ?? [], row])
+  }
+  const plots = [...groups].map(([title, group]) => `<figure><figcaption>${title}</figcaption>${renderPlot(group)}</figure>`)
+  return `<!doctype html>
+<meta charset="utf-8">
+<title>Placement model: credit by second</title>
+<style>body { font-family: sans-serif } figure { display: inline-block; margin: 8px } svg { background: #f4f4f4 }</style>
+<h1>Credit earned of the credit owed, by second</h1>
+${plots.join('\n')}
+`
+}
+
+function renderPlot (rows: readonly PageRow[]): string {
+  const lines = rows.map(({ seconds }, index) => {
+    const points = seconds.map((credit, second) => `${Math.round(second * WIDTH / (seconds.length - 1))},${Math.round(HEIGHT * (1 - credit))}`)
+    return `<polyline fill="none" stroke="hsl(${index * 67 % 360} 60% 45%)" points="${points.join(' ')}"/>`
+  })
+  return `<svg width="${WIDTH}" height="${HEIGHT}" viewBox="0 0 ${WIDTH} ${HEIGHT}">${lines.join('')}</svg>`
+}
