Serve counters and latencies on a metrics address, and tell full upstreams from missing ones

Cause: engineers on call had logs only, and a request refused because the upstreams of its object were full was logged as if there were none. The log line of a request tells how many upstreams it could choose from, and how full the first one was if none was chosen. Ruled out: the StatsD sink of the daemon form, which pushes and has no histograms here.

--- a/__performance_tests__/placement/ModelDay.ts
+++ b/__performance_tests__/placement/ModelDay.ts
@@ -9,6 +9,7 @@
 import { UpstreamLoads } from '../../src/entry/UpstreamLoads.js'
 import { KnownState } from '../../src/follow/KnownState.js'
 import { Counters } from '../../src/observe/Counters.js'
+import { LatencyBuckets } from '../../src/observe/LatencyBuckets.js'
 import { chooseRetryAfter } from '../../src/placement/chooseRetryAfter.js'
 import type { PlanRoute, RoutingPlan } from '../../src/plan/RoutingPlan.js'
 import { EntryHostTable } from '../../src/registry/EntryHostTable.js'
@@ -161,6 +162,7 @@
       answerBufferBytes: 65_536,
       random: this.#random,
       counters: new Counters(),
+      latencies: new LatencyBuckets(),
       log: quiet
     })
     return { name, domain, known, admission, relay }
--- a/__tests__/entry/EntryRelay.test.ts
+++ b/__tests__/entry/EntryRelay.test.ts
@@ -8,6 +8,7 @@
 import { UpstreamLoads } from '../../src/entry/UpstreamLoads.js'
 import { KnownState } from '../../src/follow/KnownState.js'
 import { Counters } from '../../src/observe/Counters.js'
+import { LatencyBuckets } from '../../src/observe/LatencyBuckets.js'
 import type { PlanRoute } from '../../src/plan/RoutingPlan.js'
 import { PoisonGuard } from '../../src/relay/PoisonGuard.js'
 import { RequestClass } from '../../src/types/RequestClass.js'
@@ -65,6 +66,7 @@
     answerBufferBytes: 1024,
     random: () => 0,
     counters: new Counters(),
+    latencies: new LatencyBuckets(),
     log: quiet
   })
   // Nothing is known of the number of hosts at first; the share of retries is that of a host that knows.
--- a/__tests__/platform/path.test.ts
+++ b/__tests__/platform/path.test.ts
@@ -36,6 +36,9 @@
   await until(async () => (await ask(system.guestAddress, '/lookups/1?x=2', 'a-1')).text === 'whole answer')
   assert.ok(upstream.runs.includes('GET /lookups/1?x=2 a-1'))
   assert.equal((await ask(system.guestAddress, '/nowhere/', 'a-2')).status, 404)
+  const metrics = await (await fetch(`http://${system.metricsAddress}/metrics`)).text()
+  assert.match(metrics, /^hibiscusrelay_request_seconds_count\{outcome="ran"\} [1-9]/m)
+  assert.match(metrics, /^hibiscusrelay_events\{event="refused.unknown-path"\} 1$/m)
 
   assert.equal(await post(control, '/evacuations/oviedo/begin'), 200)
   await until(async () => (await ask(system.guestAddress, '/lookups/1', 'a-3')).status === 503)
--- a/examples/platform/PlatformSystem.ts
+++ b/examples/platform/PlatformSystem.ts
@@ -9,6 +9,7 @@
 const DIRECTORY_PORT = 27_143
 const GUEST_PORT = 27_144
 const READINESS_PORT = 27_140
+const METRICS_PORT = 27_150
 const CONTROL_HOSTS = 3
 
 /** Control hosts and one entry host of the platform form as processes of their own, on loopback addresses. */
@@ -40,10 +41,15 @@
     return `${this.#network}.${CONTROL_HOSTS + 1}:${READINESS_PORT}`
   }
 
+  /** Where the entry host's counters and latencies are read. */
+  get metricsAddress (): string {
+    return `${this.#network}.${CONTROL_HOSTS + 1}:${METRICS_PORT}`
+  }
+
   /** Starts all processes. */
   start (): void {
     for (let number = 0; number < CONTROL_HOSTS; number += 1) this.startControl(number, true)
-    this.#spawn('entry', CONTROL_HOSTS, `guest-address = ${this.guestAddress}\nreadiness-address = ${this.readinessAddress}`, '', false)
+    this.#spawn('entry', CONTROL_HOSTS, `guest-address = ${this.guestAddress}\nreadiness-address = ${this.readinessAddress}\nmetrics-address = ${this.metricsAddress}`, '', false)
   }
 
   /** Starts a control host, with what its folder holds. */
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -2,6 +2,7 @@
 import { ControlFollower } from '../follow/ControlFollower.js'
 import { KnownState } from '../follow/KnownState.js'
 import type { Counters } from '../observe/Counters.js'
+import type { LatencyBuckets } from '../observe/LatencyBuckets.js'
 import type { Log } from '../observe/Log.js'
 import type { RetryBound } from '../placement/RetryShare.js'
 import type { EntryHost } from '../registry/EntryHost.js'
@@ -52,6 +53,7 @@
   callPeer: CallPeer
   random: () => number
   counters: Counters
+  latencies: LatencyBuckets
   log: Log
 }
 
@@ -131,7 +133,7 @@
   }
 
   #createRelay (crashes: CrashWatch): EntryRelay {
-    const { settings, protocol, random, counters, log } = this.#options
+    const { settings, protocol, random, counters, latencies, log } = this.#options
     return new EntryRelay({
       hostName: settings().name,
       region: settings().region,
@@ -147,6 +149,7 @@
       answerBufferBytes: ANSWER_BUFFER_BYTES,
       random,
       counters,
+      latencies,
       log
     })
   }
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -2,6 +2,7 @@
 import type { KnownState } from '../follow/KnownState.js'
 import type { Counters } from '../observe/Counters.js'
 import { retryCounter } from '../observe/declareCounters.js'
+import type { LatencyBuckets } from '../observe/LatencyBuckets.js'
 import type { Log } from '../observe/Log.js'
 import { Admission } from '../placement/AdmissionQueue.js'
 import { choosePlacement } from '../placement/choosePlacement.js'
@@ -51,6 +52,7 @@
   answerBufferBytes: number
   random: () => number
   counters: Counters
+  latencies: LatencyBuckets
   log: Log
 }
 
@@ -99,7 +101,7 @@
     for (;;) {
       if (this.#options.poison.isPoison(track.fingerprint)) return track.mayHaveRun ? answerUnknown(RefusalReason.AnswerLost) : refuse(RefusalReason.Poison)
       const chosen = this.#place(request, track)
-      if (chosen === undefined) return this.#giveUp(track, RefusalReason.NoUpstream)
+      if (chosen === undefined) return this.#giveUp(track, track.candidates === 0 ? RefusalReason.NoUpstream : RefusalReason.UpstreamsFull)
       if (chosen.isCold) this.#cold.take(chosen.record.id, performance.now())
       const answer = await this.#send(request, track, chosen.record)
       if (answer !== undefined) return answer
@@ -121,8 +123,7 @@
       mayUseCold: (record) => this.#mayUseCold(record)
     })
     const chosen = choosePlacement(candidates)
-    track.rank = chosen === undefined ? undefined : candidates.indexOf(chosen)
-    track.fill = chosen === undefined ? undefined : Math.round(chosen.utilization * 100)
+    track.notePlacement(candidates, chosen)
     return chosen
   }
 
--- a/src/entry/RequestTrack.ts
+++ b/src/entry/RequestTrack.ts
@@ -1,3 +1,4 @@
+import type { RankedCandidate } from '../placement/RankedCandidate.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { RetryReason } from '../types/RetryReason.js'
 
@@ -9,7 +10,9 @@
   readonly tried = new Set<string>()
   /** Milliseconds from its arrival until it was admitted or turned away. */
   waited = 0
-  /** Fill of the upstream of the last attempt, as this host saw it, in percent of its slots. */
+  /** Upstreams that the last attempt could choose from. */
+  candidates = 0
+  /** Fill of the upstream of the last attempt, or of the object's first one if none was chosen, in percent of its slots. */
   fill: number | undefined
   /** Place of that upstream in the order of the object, from 0. */
   rank: number | undefined
@@ -36,6 +39,19 @@
     this.fingerprint = fingerprint
   }
 
+  /**
+   * Notes which upstream was chosen.
+   *
+   * @param candidates - upstreams in the order of the object
+   * @param chosen - one of them, undefined when none had room
+   */
+  notePlacement (candidates: readonly RankedCandidate[], chosen: RankedCandidate | undefined): void {
+    const decisive = chosen ?? candidates[0]
+    this.candidates = candidates.length
+    this.rank = chosen === undefined ? undefined : candidates.indexOf(chosen)
+    this.fill = decisive === undefined ? undefined : Math.round(decisive.utilization * 100)
+  }
+
   /** Notes an attempt that surely ran nothing. */
   noteNotRun (reason: RefusalReason, retryReason: RetryReason): void {
     this.reason = reason
--- a/src/entry/noteAnswer.ts
+++ b/src/entry/noteAnswer.ts
@@ -1,6 +1,7 @@
 import type { KnownState } from '../follow/KnownState.js'
 import type { Counters } from '../observe/Counters.js'
 import { refusalCounter } from '../observe/declareCounters.js'
+import type { LatencyBuckets } from '../observe/LatencyBuckets.js'
 import type { Log } from '../observe/Log.js'
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
 import { Outcome } from '../types/Outcome.js'
@@ -12,6 +13,7 @@
 export interface AnswerNotes {
   known: KnownState
   counters: Counters
+  latencies: LatencyBuckets
   log: Log
 }
 
@@ -23,8 +25,10 @@
  * @param track - what became of it
  * @param answer - what the guest gets
  */
-export function noteAnswer ({ known, counters, log }: AnswerNotes, request: EntryRequest, track: RequestTrack, answer: RelayAnswer): void {
+export function noteAnswer ({ known, counters, latencies, log }: AnswerNotes, request: EntryRequest, track: RequestTrack, answer: RelayAnswer): void {
   if (answer.reason !== undefined) counters.increment(refusalCounter(answer.reason))
+  const took = performance.now() - request.arrivedAt
+  latencies.record(answer.outcome, took / 1_000)
   const fields = {
     step: Step.Answer,
     request: request.id,
@@ -34,6 +38,7 @@
     tried: [...track.tried].join(','),
     object: request.objectKey,
     waited: track.waited,
+    candidates: track.candidates,
     rank: track.rank,
     fill: track.fill,
     sends: track.sends,
@@ -41,7 +46,7 @@
     reason: answer.reason,
     cause: track.cause,
     status: answer.status,
-    took: Math.round(performance.now() - request.arrivedAt)
+    took: Math.round(took)
   }
   if (answer.outcome === Outcome.Ran) log.info('request-answered', fields)
   else log.warn('request-failed', fields)
--- a/src/settings/PlanHostSettings.ts
+++ b/src/settings/PlanHostSettings.ts
@@ -17,6 +17,8 @@
   controlAddress: string | undefined
   /** Where guests ask for entry hosts. */
   directoryAddress: string | undefined
+  /** Where counters and latencies are read. */
+  metricsAddress: string | undefined
   /** Peer addresses of some control hosts, sorted: the first ones that a host knows. */
   seeds: string[]
   /** Whether the whole system starts for the first time. */
--- a/src/settings/loadPlanHostSettings.ts
+++ b/src/settings/loadPlanHostSettings.ts
@@ -25,7 +25,8 @@
     'guest-address': OPTIONAL_ADDRESS,
     'readiness-address': OPTIONAL_ADDRESS,
     'control-address': OPTIONAL_ADDRESS,
-    'directory-address': OPTIONAL_ADDRESS
+    'directory-address': OPTIONAL_ADDRESS,
+    'metrics-address': OPTIONAL_ADDRESS
   }),
   control: z.object({ 'seed-addresses': ADDRESSES, 'peer-port': PORT, 'first-start': YES_OR_NO.default(false), 'announcement-seconds': amount(1.5) }),
   limits: z.object({ 'stop-seconds': amount(6), 'retry-ratio': amount(0.2), 'retry-allowance': amount(10), 'retry-window-seconds': amount(10) }).prefault({}),
@@ -53,6 +54,7 @@
     readinessAddress: listen['readiness-address'],
     controlAddress: listen['control-address'],
     directoryAddress: listen['directory-address'],
+    metricsAddress: listen['metrics-address'],
     seeds: control['seed-addresses'].map((address) => `${splitAddress(address).host}:${control['peer-port']}`).sort(),
     isFirstStart: control['first-start'],
     announcementMilliseconds: control['announcement-seconds'] * 1000,
--- a/src/types/RefusalReason.ts
+++ b/src/types/RefusalReason.ts
@@ -13,6 +13,8 @@
   NoSheet = 'no-sheet',
   NoPlan = 'no-plan',
   NoUpstream = 'no-upstream',
+  /** All upstreams that may run it soon are full. */
+  UpstreamsFull = 'upstreams-full',
   NoHost = 'no-host',
   QueueFull = 'queue-full',
   DeadlineTooShort = 'deadline-too-short',
