--- /dev/null
+++ b/__tests__/entry/UpstreamLoads.test.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict'
+import { test, type TestContext } from 'node:test'
+import { listCandidates, type CandidateQuestion } from '../../src/entry/listCandidates.js'
+import { ServiceAdmission } from '../../src/entry/ServiceAdmission.js'
+import { UpstreamLoads } from '../../src/entry/UpstreamLoads.js'
+import { KnownState } from '../../src/follow/KnownState.js'
+import { planOf } from '../plan/planOf.js'
+import { recordOf } from '../registry/recordOf.js'
+import { advance, pauseClock } from '../support/pauseClock.js'
+
+const question: CandidateQuestion = {
+  service: 'inventario',
+  placementKey: 'lookups|1',
+  homeRegions: [],
+  region: 'asturias',
+  tried: new Set(),
+  regionOf: (domain) => domain === 'oviedo' ? 'asturias' : 'euskadi',
+  mayUseCold: () => false
+}
+
+/** @returns a host whose control host has lost one of two upstreams, as the half of a core that is cut in two */
+function hostInCut (): { known: KnownState, loads: UpstreamLoads } {
+  const known = new KnownState()
+  const upstreams = ['i-1', 'i-2'].map((id, index) => ({ record: recordOf({ id, address: `127.0.0.9:${index}` }), isLost: id === 'i-1' }))
+  known.merge({ position: { feed: 'f', revision: 1, lossRevision: 0, planVersion: 1, evacuationRevision: 0 }, plan: planOf(1), upstreams, isComplete: true, isCurrent: true, entryHosts: 1, demand: {}, controlHosts: [], losses: [] })
+  return { known, loads: new UpstreamLoads(known) }
+}
+
+function names (known: KnownState, loads: UpstreamLoads): string[] {
+  return listCandidates(known, loads, question).map(({ record }) => record.id).sort()
+}
+
+test('an upstream that answers this host is used, whatever its control host hears', async (context: TestContext) => {
+  pauseClock(context)
+  const { known, loads } = hostInCut()
+  for (let requests = 0; requests < 3; requests += 1) loads.of('i-1').start()
+  assert.deepEqual(names(known, loads), ['i-2'])
+  loads.of('i-1').noteSuccess(performance.now())
+  assert.equal(loads.isLost('i-1'), false)
+  assert.deepEqual(names(known, loads), ['i-1', 'i-2'])
+  await advance(context, 3_100, 100)
+  assert.equal(loads.isLost('i-1'), true)
+})
+
+test('one request at a time finds out whether an upstream that control hosts do not hear is lost', () => {
+  const { known, loads } = hostInCut()
+  assert.deepEqual(names(known, loads), ['i-1', 'i-2'])
+  loads.of('i-1').start()
+  assert.deepEqual(names(known, loads), ['i-2'])
+})
+
+test('the slots of an upstream that answers count for the share of this host', async (context: TestContext) => {
+  pauseClock(context)
+  const { known, loads } = hostInCut()
+  const admission = new ServiceAdmission(known, loads)
+  const queue = admission.arrive('inventario')
+  while (queue.length === 0) queue.enter({ priority: 0, mostWaitMilliseconds: 1_000 }, new AbortController().signal).catch(() => {})
+  const withoutAnswer = queue.underWay
+  loads.of('i-1').noteSuccess(performance.now())
+  await advance(context, 200, 100)
+  assert.ok(queue.underWay > withoutAnswer, `${queue.underWay} under way`)
+})
