Give up a request at a suspected owner only when it may be sent again

Each ended idempotent request is retried only as far as the retry budget goes (10 at once); the others became answer-lost, though their owner was alive and answered. 27 were lost just as five hosts suspected a peer. Change: the retry is taken from the budget before the wait is ended; without one the answer is waited for. Test: 40 requests at an owner that is suspected after 100 ms and answers after 300 ms: before, 40 given up; now the 10 that may be sent again.

--- a/src/daemon/HostRelay.ts
+++ b/src/daemon/HostRelay.ts
@@ -129,6 +129,7 @@
       address: host.peerAddress,
       poison: this.poison,
       gone: this.#options.goneSignal(host.name),
+      takeRetry: () => this.#retryBudget(request.service).trySpend(),
       fromRegion: settings.host.region,
       trySpend: (bytes) => links.trySpend(settings.host.region, host.region, bytes),
       connections: transport.connections.to(host.peerAddress),
--- a/src/relay/Ingress.ts
+++ b/src/relay/Ingress.ts
@@ -152,7 +152,7 @@
     if (answer.outcome === Outcome.Ran) return false
     if (answer.outcome === Outcome.NotRun) return this.#retryNotRun(answer)
     if (request.requestClass === RequestClass.OneTime || answer.reason !== RefusalReason.AnswerLost) return false
-    if (!this.#options.retryBudget(request.service).trySpend()) {
+    if (answer.retryTaken !== true && !this.#options.retryBudget(request.service).trySpend()) {
       this.#options.counters.increment(RETRY_BUDGET_COUNTER)
       return false
     }
--- a/src/relay/RelayAnswer.ts
+++ b/src/relay/RelayAnswer.ts
@@ -15,6 +15,8 @@
   body: Buffer | Readable
   /** Whether the upstream's answer had no length but the end of its connection; the guest must get it that way, too. */
   endsWithConnection?: boolean
+  /** Whether a retry was taken from the budget already, when the request was given up at an owner that seemed lost. */
+  retryTaken?: boolean
   /** How long an upstream ran it, absent when none did; known at its owner only. */
   run?: { runMilliseconds: number }
   /** What the owner told of its pool, undefined when no owner answered. */
--- a/src/relay/forwardToOwner.ts
+++ b/src/relay/forwardToOwner.ts
@@ -22,8 +22,10 @@
   address: string
   /** What is known of requests that kill upstreams; the request carries it there and the answer back. */
   poison: PoisonGuard
-  /** Aborted once the owner is taken for lost. */
+  /** Aborted once the owner is suspected or taken for lost. */
   gone: AbortSignal
+  /** Takes a retry from the budget of the service; false when it is used up. */
+  takeRetry: () => boolean
   /** Region of the own host. */
   fromRegion: string
   /** Takes bytes from the budget of the link to the owner; false when it is used up. */
@@ -44,8 +46,11 @@
   const head = encodeHead(describeRelayHead(request, owner.fromRegion, owner.poison.describe(request.fingerprint).lostUpstreams))
   if (!owner.trySpend(head.length + request.body.length + MESSAGE_OVERHEAD_BYTES)) return refuse(RefusalReason.LinkBudget)
   const signature = owner.signature.sign({ path: RELAY_PATH, head, body: request.body })
-  // A one-time action is not sent again, so its answer is waited for even if the owner seems lost.
-  const cancelled = joinSignals(request.requestClass === RequestClass.Idempotent ? [request.cancelled, owner.gone] : [request.cancelled])
+  const givenUp = new AbortController()
+  // A suspected owner may be alive, so its answer is waited for unless the request can be sent again.
+  const giveUp = (): void => { if (request.requestClass === RequestClass.Idempotent && owner.takeRetry()) givenUp.abort() }
+  owner.gone.addEventListener('abort', giveUp)
+  const cancelled = joinSignals([request.cancelled, givenUp.signal])
   try {
     const answer = await exchange(owner.connections, {
       peer: owner.address,
@@ -68,10 +73,11 @@
   } catch (error) {
     if (!(error instanceof ExchangeError)) throw error
     if (error.failure === ExchangeFailure.Unreachable) return refuse(RefusalReason.OwnerUnreachable)
-    const isOwnerLost = error.failure === ExchangeFailure.Cancelled && !request.cancelled.aborted
-    if (isOwnerLost) return error.written ? answerUnknown(RefusalReason.AnswerLost) : refuse(RefusalReason.OwnerUnreachable)
+    const isGivenUp = error.failure === ExchangeFailure.Cancelled && !request.cancelled.aborted
+    if (isGivenUp) return error.written ? { ...answerUnknown(RefusalReason.AnswerLost), retryTaken: true } : refuse(RefusalReason.OwnerUnreachable)
     return explainExchangeError(error)
   } finally {
+    owner.gone.removeEventListener('abort', giveUp)
     cancelled.release()
   }
 }
