--- a/__performance_tests__/placement/ModelDay.ts
+++ b/__performance_tests__/placement/ModelDay.ts
@@ -2,21 +2,14 @@
 import { mock } from 'node:test'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
-import { upstreamProtocol } from '../../platform/wire/upstreamProtocol.js'
-import { CrashWatch } from '../../src/entry/CrashWatch.js'
-import { EntryRelay } from '../../src/entry/EntryRelay.js'
-import { ServiceAdmission } from '../../src/entry/ServiceAdmission.js'
-import { UpstreamLoads } from '../../src/entry/UpstreamLoads.js'
-import { KnownState } from '../../src/follow/KnownState.js'
-import { Counters } from '../../src/observe/Counters.js'
-import { LatencyBuckets } from '../../src/observe/LatencyBuckets.js'
 import { chooseRetryAfter } from '../../src/placement/chooseRetryAfter.js'
 import type { PlanRoute, RoutingPlan } from '../../src/plan/RoutingPlan.js'
 import { EntryHostTable } from '../../src/registry/EntryHostTable.js'
 import { UpstreamReadiness, type UpstreamRecord } from '../../src/registry/UpstreamRecord.js'
 import { RefusalReason } from '../../src/types/RefusalReason.js'
-import { PoisonGuard } from '../../src/relay/PoisonGuard.js'
-import { ModelConnections, type ModelNetwork } from './ModelConnections.js'
+import { createModelHost, regionOf, type ModelEntryHost } from './createModelHost.js'
+import { describeModelPlan } from './describeModelPlan.js'
+import type { ModelNetwork } from './ModelConnections.js'
 import { ModelResult } from './ModelResult.js'
 import { ModelUpstream } from './ModelUpstream.js'
 import type { ModelKind, ModelSite } from './modelSites.js'
@@ -32,8 +25,8 @@
 const DOMAINS = 6
 const DOMAIN_MILLISECONDS = 1
 const HOST_MILLISECONDS = 0.3
-const WARM_UP_PART_OF_TIME_LEFT = 3
-const quiet = { info: () => {}, warn: () => {}, error: () => {} }
+/** Guests wait for at most this part of the time they have left. */
+const MOST_PAUSE_DIVISOR = 3
 
 /** What happens on a model's day. */
 export interface ModelDaySettings {
@@ -48,14 +41,6 @@
   killAt?: number
 }
 
-interface ModelEntryHost {
-  name: string
-  domain: string
-  known: KnownState
-  admission: ServiceAdmission
-  relay: EntryRelay
-}
-
 /** Plays a day of load against the entry hosts' own relay, admission and placement, on a paused clock. */
 export class ModelDay {
   readonly #settings: ModelDaySettings
@@ -80,7 +65,7 @@
       random: this.#random,
       onRun: (wasWarm, isElsewhere) => { this.#result.noteRun(wasWarm, isElsewhere) }
     }
-    this.#plan = this.#describePlan()
+    this.#plan = describeModelPlan(settings.site)
     for (const service of settings.site.services) this.#addUpstreams(service)
   }
 
@@ -115,59 +100,11 @@
     })
   }
 
-  #describePlan (): RoutingPlan {
-    const { site } = this.#settings
-    return {
-      version: 1,
-      routes: site.kinds.map((kind) => ({
-        name: kind.name,
-        host: 'model',
-        pathPrefix: `/${kind.name}/`,
-        requestClass: kind.requestClass,
-        timeoutMilliseconds: kind.timeoutMilliseconds,
-        targetLatencyMilliseconds: kind.objectiveMilliseconds,
-        priority: kind.priority,
-        targets: [{ service: kind.service, weight: 1 }],
-        mostAttempts: 2,
-        sticky: true,
-        homeRegions: []
-      })),
-      services: site.services.map(({ name }) => ({ name, healthPath: '/health', mostConnections: 660, coldStartMilliseconds: 3_000, coldRequestsPerSecond: 8 })),
-      limits: { headerBytes: 16_384, bodyBytes: 1_048_576, headerTimeoutMilliseconds: 3_000, idleTimeoutMilliseconds: 15_000 }
-    }
-  }
-
   #startHosts (): void {
-    this.#hosts = this.#settings.site.hosts.flatMap((count, domain) => Array.from({ length: count }, (_, number) => this.#createHost(`${domain}-${number}`, String(domain))))
+    this.#hosts = this.#settings.site.hosts.flatMap((count, domain) => Array.from({ length: count }, (_, number) => createModelHost(this.#network, `${domain}-${number}`, String(domain))))
     this.#follow()
   }
 
-  #createHost (name: string, domain: string): ModelEntryHost {
-    const known = new KnownState()
-    const loads = new UpstreamLoads(known)
-    const admission = new ServiceAdmission(known, loads)
-    const poison = new PoisonGuard()
-    const relay = new EntryRelay({
-      hostName: name,
-      region: regionOf(domain),
-      known,
-      loads,
-      admission,
-      connections: new ModelConnections(this.#network, domain),
-      protocol: upstreamProtocol,
-      poison,
-      crashes: new CrashWatch(poison, quiet),
-      retryBound: () => ({ ratio: 0.2, allowance: 112, windowMilliseconds: 10_000 }),
-      regionOf,
-      answerBufferBytes: 65_536,
-      random: this.#random,
-      counters: new Counters(),
-      latencies: new LatencyBuckets(),
-      log: quiet
-    })
-    return { name, domain, known, admission, relay }
-  }
-
   #follow (): void {
     const table = new EntryHostTable()
     for (const { name, domain, admission } of this.#hosts) table.hear({ name, domain, region: regionOf(domain), guestAddress: name, isReady: true, demand: admission.listDemand() })
@@ -251,7 +188,7 @@
     this.#result.noteRefused(performance.now())
     if (answer.status !== 503 || guest.retries === 0) return
     const left = sentAt + kind.deadlineMilliseconds - performance.now()
-    const pause = Math.min(left / WARM_UP_PART_OF_TIME_LEFT, chooseRetryAfter(answer.reason ?? RefusalReason.Shed, left, this.#random()) * 1_000)
+    const pause = Math.min(left / MOST_PAUSE_DIVISOR, chooseRetryAfter(answer.reason ?? RefusalReason.Shed, left, this.#random()) * 1_000)
     setTimeout(() => { this.#ask({ ...guest, retries: guest.retries - 1 }).catch((error: unknown) => { throw error }) }, pause)
   }
 
@@ -260,8 +197,3 @@
     return from === to ? HOST_MILLISECONDS : DOMAIN_MILLISECONDS
   }
 }
-
-/** @returns the region of a failure domain: two domains to a region */
-function regionOf (domain: string): string {
-  return String(Math.floor(Number(domain) / 2))
-}
--- /dev/null
+++ b/__performance_tests__/placement/createModelHost.ts
@@ -0,0 +1,58 @@
+import { upstreamProtocol } from '../../platform/wire/upstreamProtocol.js'
+import { CrashWatch } from '../../src/entry/CrashWatch.js'
+import { EntryRelay } from '../../src/entry/EntryRelay.js'
+import { ServiceAdmission } from '../../src/entry/ServiceAdmission.js'
+import { UpstreamLoads } from '../../src/entry/UpstreamLoads.js'
+import { KnownState } from '../../src/follow/KnownState.js'
+import { Counters } from '../../src/observe/Counters.js'
+import { LatencyBuckets } from '../../src/observe/LatencyBuckets.js'
+import { PoisonGuard } from '../../src/relay/PoisonGuard.js'
+import { ModelConnections, type ModelNetwork } from './ModelConnections.js'
+
+const quiet = { info: () => {}, warn: () => {}, error: () => {} }
+
+/** An entry host of the model: the product's own parts on a network of the model. */
+export interface ModelEntryHost {
+  name: string
+  domain: string
+  known: KnownState
+  admission: ServiceAdmission
+  relay: EntryRelay
+}
+
+/**
+ * @param network - upstreams and delays
+ * @param name - name of the host
+ * @param domain - its failure domain
+ * @returns a host that knows nothing yet
+ */
+export function createModelHost (network: ModelNetwork, name: string, domain: string): ModelEntryHost {
+  const known = new KnownState()
+  const loads = new UpstreamLoads(known)
+  const admission = new ServiceAdmission(known, loads)
+  const poison = new PoisonGuard()
+  const relay = new EntryRelay({
+    hostName: name,
+    region: regionOf(domain),
+    known,
+    loads,
+    admission,
+    connections: new ModelConnections(network, domain),
+    protocol: upstreamProtocol,
+    poison,
+    crashes: new CrashWatch(poison, quiet),
+    retryBound: () => ({ ratio: 0.2, allowance: 112, windowMilliseconds: 10_000 }),
+    regionOf,
+    answerBufferBytes: 65_536,
+    random: network.random,
+    counters: new Counters(),
+    latencies: new LatencyBuckets(),
+    log: quiet
+  })
+  return { name, domain, known, admission, relay }
+}
+
+/** @returns the region of a failure domain: two domains to a region */
+export function regionOf (domain: string): string {
+  return String(Math.floor(Number(domain) / 2))
+}
--- a/__performance_tests__/relay/hopCost.ts
+++ b/__performance_tests__/relay/hopCost.ts
@@ -104,7 +104,8 @@
   const answer = await forwardToOwner(createRequest(), {
     address: PEER_ADDRESS,
     poison,
-    gone: new AbortController().signal, takeRetry: () => true,
+    gone: new AbortController().signal,
+    takeRetry: () => true,
     fromRegion: 'asturias',
     trySpend: () => true,
     connections: connections.to(PEER_ADDRESS),
