Try a lost upstream once, and keep regions apart from failures of a moment

Cause, found on reading the change: an upstream that control hosts call lost got a request from each host again and again (after each avoidance, 4 s at most), each of which waits 500 ms for a connection; and weights of regions were computed from the upstreams that did not fail a moment ago, so that a failure moved objects to other regions and back. The log line of a request that was refused by an upstream with room did not name that upstream. Change: one request finds out whether a lost upstream is alive, no more after it fails. Weights count all upstreams that are not lost. The log line names every attempt.

--- a/__tests__/entry/EntryRelay.test.ts
+++ b/__tests__/entry/EntryRelay.test.ts
@@ -28,6 +28,7 @@
 
 const good = answer('200 OK', `attempt-id: ${ID}\r\nresponse-signature: s\r\n`, 'whole')
 const shed = answer('503 Full', 'not-executed: 1\r\n')
+const shedWithRoom = answer('503 Full', 'not-executed: 1\r\nserver-load: 1,0,4\r\n')
 const lost: Respond = (socket) => { socket.destroy() }
 const foreign = answer('200 OK', 'attempt-id: another\r\nresponse-signature: s\r\n', 'of another')
 const unsigned = answer('200 OK', `attempt-id: ${ID}\r\n`, 'nobody knows')
@@ -39,6 +40,9 @@
   sends: number
 }
 
+const lines: Array<Record<string, unknown>> = []
+const keepLine = (_event: string, fields: object): void => { lines.push(fields as Record<string, unknown>) }
+
 /** Sends one request to upstreams that all answer in one way first and well from the second send on. */
 async function serve (context: TestContext, first: Respond, part: Partial<PlanRoute> = {}): Promise<Outcome> {
   let sends = 0
@@ -67,7 +71,7 @@
     random: () => 0,
     counters: new Counters(),
     latencies: new LatencyBuckets(),
-    log: quiet
+    log: { ...quiet, info: keepLine, warn: keepLine }
   })
   // Nothing is known of the number of hosts at first; the share of retries is that of a host that knows.
   Object.defineProperty(known, 'entryHosts', { value: 1 })
@@ -99,3 +103,9 @@
     assert.deepEqual(await serve(context, first, part), expected)
   })
 }
+
+test('an upstream that refuses although it has room gets the next attempt, and the log line names each attempt', async (context) => {
+  assert.deepEqual(await serve(context, shedWithRoom, oneTime), { status: 200, sends: 2 })
+  const [first, second] = String(lines[lines.length - 1]!.tried).split(',')
+  assert.ok(first !== undefined && first === second)
+})
--- a/__tests__/entry/UpstreamLoads.test.ts
+++ b/__tests__/entry/UpstreamLoads.test.ts
@@ -49,6 +49,27 @@
   assert.deepEqual(names(known, loads), ['i-2'])
 })
 
+test('an upstream that control hosts do not hear and that fails is not tried again', async (context: TestContext) => {
+  pauseClock(context)
+  const { known, loads } = hostInCut()
+  loads.of('i-1').noteFailure(performance.now())
+  await advance(context, 5_000, 500)
+  assert.equal(loads.of('i-1').isAvoided(performance.now()), false)
+  assert.deepEqual(names(known, loads), ['i-2'])
+})
+
+test('a failure of a moment does not move objects to another region', () => {
+  const { known, loads } = hostInCut()
+  loads.of('i-1').start()
+  const more = [recordOf({ id: 'i-3', address: '127.0.0.9:3' }), recordOf({ id: 'i-4', address: '127.0.0.8:4', domain: 'bilbao', slots: 12 })]
+  const upstreams = more.map((record) => ({ record, isLost: false }))
+  known.merge({ position: { feed: 'f', revision: 2, lossRevision: 0, planVersion: 1, evacuationRevision: 0 }, upstreams, isComplete: false, isCurrent: true, entryHosts: 1, demand: { asturias: { inventario: 1 }, euskadi: { inventario: 1 } }, controlHosts: [], losses: [] })
+  const regionsOf = (): string[] => Array.from({ length: 50 }, (_, object) => listCandidates(known, loads, { ...question, placementKey: `o-${object}` })[0]!.record.domain)
+  const before = regionsOf()
+  loads.of('i-2').noteFailure(performance.now())
+  assert.deepEqual(regionsOf(), before)
+})
+
 test('the slots of an upstream that answers count for the share of this host', async (context: TestContext) => {
   pauseClock(context)
   const { known, loads } = hostInCut()
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -138,7 +138,7 @@
   /** @returns the answer for the guest, undefined when the attempt gave none */
   async #send (request: EntryRequest, track: RequestTrack, record: UpstreamRecord): Promise<RelayAnswer | undefined> {
     const load = this.#options.loads.of(record.id)
-    track.tried.add(record.id)
+    track.noteTry(record.id)
     load.start()
     try {
       const answer = await this.#exchange(request, record)
@@ -196,7 +196,6 @@
       return undefined
     }
     if (kind === AnswerKind.OtherUpstream) known.forget(record.id)
-    // An upstream that refuses although it has room may take the next try; elsewhere the object is not warm.
     const hadRoom = kind === AnswerKind.NotRun && load.noteRefusal(now)
     // An upstream that refuses although it has room may take the next try; elsewhere the object is not warm.
     if (hadRoom) track.tried.delete(record.id)
--- a/src/entry/RequestTrack.ts
+++ b/src/entry/RequestTrack.ts
@@ -6,8 +6,10 @@
 export class RequestTrack {
   readonly service: string
   readonly fingerprint: string
-  /** Identifiers of the upstreams that were tried. */
+  /** Identifiers of the upstreams that were tried and should not be tried again. */
   readonly tried = new Set<string>()
+  /** Identifiers of the upstreams of all attempts, in their order. */
+  readonly attempts: string[] = []
   /** Milliseconds from its arrival until it was admitted or turned away. */
   waited = 0
   /** Upstreams that the last attempt could choose from. */
@@ -52,6 +54,12 @@
     this.fill = decisive === undefined ? undefined : Math.round(decisive.utilization * 100)
   }
 
+  /** Notes that an attempt at an upstream begins. */
+  noteTry (upstream: string): void {
+    this.tried.add(upstream)
+    this.attempts.push(upstream)
+  }
+
   /** Notes an attempt that surely ran nothing. */
   noteNotRun (reason: RefusalReason, retryReason: RetryReason): void {
     this.reason = reason
--- a/src/entry/listCandidates.ts
+++ b/src/entry/listCandidates.ts
@@ -1,6 +1,7 @@
 import type { KnownState } from '../follow/KnownState.js'
 import { orderRegions } from '../placement/orderRegions.js'
 import type { RankedCandidate } from '../placement/RankedCandidate.js'
+import type { UpstreamLoad } from '../placement/UpstreamLoad.js'
 import { weighRegions } from '../placement/weighRegions.js'
 import type { UpstreamEntry } from '../registry/UpstreamEntry.js'
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
@@ -40,10 +41,11 @@
     if (tried.has(record.id) || known.isEvacuated(record.domain)) return false
     return homeRegions.length === 0 || homeRegions.includes(regionOf(record.domain) ?? '')
   })
-  // One request at a time finds out whether an upstream that control hosts don't hear is lost.
-  const isSound = (id: string): boolean => (!loads.isLost(id) || loads.of(id).inFlight === 0) && !loads.of(id).isAvoided(now)
+  const isSound = (id: string): boolean => (!loads.isLost(id) || mayFindOut(loads.of(id))) && !loads.of(id).isAvoided(now)
   const sound = allowed.filter(({ record }) => isSound(record.id))
-  const weights = weighRegions({ home: question.region, slots: sumSlots(sound.length > 0 ? sound : allowed, regionOf), demand: known.demandPartsOf(question.service) })
+  // Failures of a moment don't count here: they would move objects to other regions and back.
+  const present = allowed.filter(({ record }) => !loads.isLost(record.id))
+  const weights = weighRegions({ home: question.region, slots: sumSlots(present.length > 0 ? present : allowed, regionOf), demand: known.demandPartsOf(question.service) })
   const regions = orderRegions(key, weights)
   return (sound.length > 0 ? sound : allowed)
     .filter(({ record, coldUntil }) => coldUntil <= now || mayUseCold(record))
@@ -58,6 +60,11 @@
     .sort((left, right) => left.regionRank - right.regionRank || right.score - left.score)
 }
 
+/** One request finds out whether an upstream that control hosts don't hear is lost; a second failure would only take time. */
+function mayFindOut ({ inFlight, hasFailed }: UpstreamLoad): boolean {
+  return inFlight === 0 && !hasFailed
+}
+
 /** @returns slots of the upstreams in each region */
 function sumSlots (upstreams: readonly UpstreamEntry[], regionOf: CandidateQuestion['regionOf']): Map<string, number> {
   const slots = new Map<string, number>()
--- a/src/entry/noteAnswer.ts
+++ b/src/entry/noteAnswer.ts
@@ -35,7 +35,7 @@
     route: request.route.name,
     service: track.service,
     plan: known.plan?.version,
-    tried: [...track.tried].join(','),
+    tried: track.attempts.join(','),
     object: request.objectKey,
     waited: track.waited,
     candidates: track.candidates,
--- a/src/placement/UpstreamLoad.ts
+++ b/src/placement/UpstreamLoad.ts
@@ -62,6 +62,11 @@
     return this.#report !== undefined && this.#reportedAt === now && this.#report.running < this.#report.slots
   }
 
+  /** Whether the last request to it failed. */
+  get hasFailed (): boolean {
+    return this.#failures > 0
+  }
+
   /** Whether it answered this host lately. */
   isAlive (now: number): boolean {
     return now - this.#answeredAt < ALIVE_MILLISECONDS
