Add hibiscusrelay trace: what became of one request, from the logs of several hosts

Cause: the way from an identifier to its cause went by hand through the logs of all entry and control hosts. Weighed: a host that answers for past requests (state, and lost with the process); lines are what is left after a failure.

--- /dev/null
+++ b/__tests__/cli/trace.test.ts
@@ -0,0 +1,44 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { collectTrace } from '../../src/cli/trace/collectTrace.js'
+import { explainRequest } from '../../src/cli/trace/explainRequest.js'
+import { parseLogLine, type LogLine } from '../../src/cli/trace/LogLine.js'
+
+/** Lines as hosts wrote them on days of the bench, some with the collector's prefix. */
+const texts = [
+  '   1.3352 edge-kelet-b-1 time=2026-03-19T02:52:09.334Z level=warn host=edge-kelet-b-1 event=request-failed step=answer request=79ffaaaf1ae17843 route=r-u6uhap2 service=goti90a plan=4 tried="" object=21 waited=0 candidates=20 fill=289 sends=0 outcome=not-run reason=upstreams-full status=503 took=1',
+  'time=2026-03-19T02:52:08.000Z level=info host=edge-kelet-b-1 event=plan-in-force step=follow version=4 routes=22',
+  'time=2026-03-19T02:52:08.900Z level=info host=edge-kozep-a-4 event=plan-in-force step=follow version=4 routes=22',
+  'time=2026-03-19T02:52:08.334Z level=warn host=edge-kozep-a-4 event=request-failed step=answer request=66ea3d0922310cc2 route=r-tk6ktfr service=goti90a plan=4 tried=i-b1b696a469 waited=0 candidates=20 rank=0 fill=0 sends=1 outcome=unknown reason=deadline-passed cause="Error: timed-out" status=504 took=405',
+  'time=2026-03-19T02:52:07.000Z level=warn host=core-kozep-a-1 event=upstream-silent step=registry peer=i-b1b696a469',
+  'no line of a log'
+]
+const lines = texts.map(parseLogLine).filter((line): line is LogLine => line !== undefined)
+
+test('lines are read with or without a prefix, and what is none is left out', () => {
+  assert.equal(lines.length, 5)
+  assert.equal(lines[0]!.host, 'edge-kelet-b-1')
+  assert.equal(lines[3]!.fields.get('cause'), 'Error: timed-out')
+})
+
+test('a request that was rejected at once is told with what decided it', () => {
+  const { own, context } = collectTrace(lines, '79ffaaaf1ae17843')
+  assert.equal(own.length, 1)
+  assert.deepEqual(context.map(({ host, event }) => `${host} ${event}`), ['edge-kelet-b-1 plan-in-force'])
+  const text = explainRequest(own[0]!).join(' ')
+  assert.match(text, /20 upstreams to choose from; the object's first one was 289% full/)
+  assert.match(text, /sent to no upstream/)
+  assert.match(text, /ended not-run with status 503 after 1 ms: the upstreams that hold the object were about to shed/)
+})
+
+test('a request that was too late is told with its upstream, and what another host heard of that upstream', () => {
+  const { own, context } = collectTrace(lines, '66ea3d0922310cc2')
+  assert.deepEqual(context.map(({ host, event }) => `${host} ${event}`), ['core-kozep-a-1 upstream-silent'])
+  const text = explainRequest(own[0]!).join(' ')
+  assert.match(text, /tried at i-b1b696a469; 1 of these tries reached an upstream \(last failure: Error: timed-out\)/)
+  assert.match(text, /its time was over before the answer came/)
+})
+
+test('a request that no log names is not found', () => {
+  assert.deepEqual(collectTrace(lines, 'unknown'), { own: [], context: [] })
+})
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -8,6 +8,7 @@
 import { sheetHistoryCommand, sheetShowCommand, sheetStatusCommand } from './sheetShowCommand.js'
 import { sheetSubmitCommand } from './sheetSubmitCommand.js'
 import { statusCommand } from './statusCommand.js'
+import { traceCommand } from './traceCommand.js'
 
 const sheet = defineCommand({
   meta: { name: 'sheet', description: 'Check, submit and follow sheets' },
@@ -23,5 +24,5 @@
 
 await runMain(defineCommand({
   meta: { name: 'hibiscusrelay', description: 'Operators\' tool of the hibiscusrelay traffic steering system' },
-  subCommands: { status: statusCommand, sheet, drain: drainCommand, replica: replicaCommand, explain: explainCommand, load: loadCommand }
+  subCommands: { status: statusCommand, sheet, drain: drainCommand, replica: replicaCommand, explain: explainCommand, trace: traceCommand, load: loadCommand }
 }))
