--- a/__performance_tests__/placement/ModelDay.ts
+++ b/__performance_tests__/placement/ModelDay.ts
@@ -3,7 +3,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { chooseRetryAfter } from '../../src/placement/chooseRetryAfter.js'
-import type { PlanRoute, RoutingPlan } from '../../src/plan/RoutingPlan.js'
+import type { RoutingPlan } from '../../src/plan/RoutingPlan.js'
 import { EntryHostTable } from '../../src/registry/EntryHostTable.js'
 import { UpstreamReadiness, type UpstreamRecord } from '../../src/registry/UpstreamRecord.js'
 import { RefusalReason } from '../../src/types/RefusalReason.js'
@@ -41,6 +41,18 @@
   killAt?: number
 }
 
+/** A guest of the model, over all its sends. */
+interface ModelGuest {
+  domain: number
+  kind: ModelKind
+  object: string
+  sentAt: number
+  /** How often it comes back after a refusal. */
+  retries: number
+  /** Time of its run on an object that is not remembered, in milliseconds. */
+  work: number
+}
+
 /** Plays a day of load against the entry hosts' own relay, admission and placement, on a paused clock. */
 export class ModelDay {
   readonly #settings: ModelDaySettings
@@ -154,12 +166,12 @@
 
   #arrive (domain: number, kind: ModelKind): void {
     const object = Math.floor(this.#random() ** 1.2 * kind.objects)
-    const guest = { domain, kind, object: `${Math.floor(domain / 2)}-${object}`, sentAt: performance.now(), retries: 1, work: kind.workMilliseconds * (1 + WORK_SPREAD * (2 * this.#random() - 1)) }
+    const guest: ModelGuest = { domain, kind, object: `${Math.floor(domain / 2)}-${object}`, sentAt: performance.now(), retries: 1, work: kind.workMilliseconds * (1 + WORK_SPREAD * (2 * this.#random() - 1)) }
     this.#result.noteOwed(guest.sentAt, kind.worth, domain)
     this.#ask(guest).catch((error: unknown) => { throw error })
   }
 
-  async #ask (guest: { domain: number, kind: ModelKind, object: string, sentAt: number, retries: number, work: number }): Promise<void> {
+  async #ask (guest: ModelGuest): Promise<void> {
     const { domain, kind, object, sentAt } = guest
     const hosts = this.#hosts.filter((host) => host.domain === String(domain))
     const host = hosts[Math.floor(this.#random() * hosts.length)]
@@ -167,7 +179,7 @@
     const remaining = sentAt + kind.deadlineMilliseconds - now
     if (host === undefined || this.#isDown || remaining <= 0) return
     const id = String(++this.#identifiers)
-    const route = this.#plan.routes.find(({ name }) => name === kind.name) as PlanRoute
+    const route = this.#plan.routes.find(({ name }) => name === kind.name)!
     this.#network.requests.set(id, { id, objectKey: `${kind.name}|${object}`, coldMilliseconds: guest.work })
     const answer = await host.relay.serve({
       id,
@@ -184,8 +196,8 @@
     })
     this.#network.requests.delete(id)
     const took = performance.now() - sentAt + 2 * HOST_MILLISECONDS
-    if (answer.status === 200) return this.#result.noteServed(sentAt, took <= kind.objectiveMilliseconds ? kind.worth : kind.lateWorth, took, domain)
-    this.#result.noteRefused(performance.now())
+    if (answer.status === 200) return this.#result.noteServed(sentAt, took <= kind.objectiveMilliseconds ? kind.worth : kind.lateWorth, domain)
+    this.#result.noteRefused()
     if (answer.status !== 503 || guest.retries === 0) return
     const left = sentAt + kind.deadlineMilliseconds - performance.now()
     const pause = Math.min(left / MOST_PAUSE_DIVISOR, chooseRetryAfter(answer.reason ?? RefusalReason.Shed, left, this.#random()) * 1_000)
--- a/__performance_tests__/placement/ModelResult.ts
+++ b/__performance_tests__/placement/ModelResult.ts
@@ -4,8 +4,8 @@
   readonly #earned: number[] = []
   readonly #owedByDomain: number[] = []
   readonly #earnedByDomain: number[] = []
-  readonly #times: number[] = []
   #requests = 0
+  #served = 0
   #refused = 0
   #warmRuns = 0
   #runs = 0
@@ -17,13 +17,13 @@
     add(this.#owedByDomain, domain, worth)
   }
 
-  noteServed (sentAt: number, credit: number, milliseconds: number, domain: number): void {
-    this.#times.push(milliseconds)
+  noteServed (sentAt: number, credit: number, domain: number): void {
+    this.#served += 1
     add(this.#earned, sentAt / 1_000, credit)
     add(this.#earnedByDomain, domain, credit)
   }
 
-  noteRefused (_at: number): void {
+  noteRefused (): void {
     this.#refused += 1
   }
 
@@ -39,7 +39,7 @@
   }
 
   get served (): number {
-    return this.#times.length / this.#requests
+    return this.#served / this.#requests
   }
 
   /** Refusals for each request of a guest. */
--- a/__tests__/entry/EntryRelay.test.ts
+++ b/__tests__/entry/EntryRelay.test.ts
@@ -13,6 +13,7 @@
 import { PoisonGuard } from '../../src/relay/PoisonGuard.js'
 import { RequestClass } from '../../src/types/RequestClass.js'
 import { upstreamProtocol } from '../../platform/wire/upstreamProtocol.js'
+import { replyOf } from '../follow/replyOf.js'
 import { planOf, routeOf } from '../plan/planOf.js'
 import { recordOf } from '../registry/recordOf.js'
 import { openRawServer, type RawServer } from '../support/rawServer.js'
@@ -51,7 +52,7 @@
   const respond: Respond = (socket, head, count) => { (++sends === 1 ? first : good)(socket, head, count) }
   for (let number = 0; number < 2; number += 1) servers.push(await openRawServer(respond))
   const upstreams = servers.map(({ address }, number) => ({ record: recordOf({ id: `i-${number}`, address }), isLost: false }))
-  known.merge({ position: { feed: 'f', revision: 1, lossRevision: 0, planVersion: 1, evacuationRevision: 0 }, plan: planOf(1), upstreams, isComplete: true, isCurrent: true, entryHosts: 1, demand: {}, controlHosts: [], losses: [] })
+  known.merge(replyOf({ plan: planOf(1), upstreams, isComplete: true, entryHosts: 1 }))
   const connections = new UpstreamConnections()
   const poison = new PoisonGuard()
   const loads = new UpstreamLoads(known)
--- a/__tests__/entry/UpstreamLoads.test.ts
+++ b/__tests__/entry/UpstreamLoads.test.ts
@@ -4,6 +4,7 @@
 import { ServiceAdmission } from '../../src/entry/ServiceAdmission.js'
 import { UpstreamLoads } from '../../src/entry/UpstreamLoads.js'
 import { KnownState } from '../../src/follow/KnownState.js'
+import { replyOf } from '../follow/replyOf.js'
 import { planOf } from '../plan/planOf.js'
 import { recordOf } from '../registry/recordOf.js'
 import { advance, pauseClock } from '../support/pauseClock.js'
@@ -22,7 +23,7 @@
 function hostInCut (): { known: KnownState, loads: UpstreamLoads } {
   const known = new KnownState()
   const upstreams = ['i-1', 'i-2'].map((id, index) => ({ record: recordOf({ id, address: `127.0.0.9:${index}` }), isLost: id === 'i-1' }))
-  known.merge({ position: { feed: 'f', revision: 1, lossRevision: 0, planVersion: 1, evacuationRevision: 0 }, plan: planOf(1), upstreams, isComplete: true, isCurrent: true, entryHosts: 1, demand: {}, controlHosts: [], losses: [] })
+  known.merge(replyOf({ plan: planOf(1), upstreams, isComplete: true, entryHosts: 1 }))
   return { known, loads: new UpstreamLoads(known) }
 }
 
@@ -63,7 +64,7 @@
   loads.of('i-1').start()
   const more = [recordOf({ id: 'i-3', address: '127.0.0.9:3' }), recordOf({ id: 'i-4', address: '127.0.0.8:4', domain: 'bilbao', slots: 12 })]
   const upstreams = more.map((record) => ({ record, isLost: false }))
-  known.merge({ position: { feed: 'f', revision: 2, lossRevision: 0, planVersion: 1, evacuationRevision: 0 }, upstreams, isComplete: false, isCurrent: true, entryHosts: 1, demand: { asturias: { inventario: 1 }, euskadi: { inventario: 1 } }, controlHosts: [], losses: [] })
+  known.merge(replyOf({ upstreams, demand: { asturias: { inventario: 1 }, euskadi: { inventario: 1 } } }))
   const regionsOf = (): string[] => Array.from({ length: 50 }, (_, object) => listCandidates(known, loads, { ...question, placementKey: `o-${object}` })[0]!.record.domain)
   const before = regionsOf()
   loads.of('i-2').noteFailure(performance.now())
