--- /dev/null
+++ b/__tests__/follow/slowLink.test.ts
@@ -0,0 +1,91 @@
+import assert from 'node:assert/strict'
+import { test, type TestContext } from 'node:test'
+import { ControlFollower } from '../../src/follow/ControlFollower.js'
+import { KnownState } from '../../src/follow/KnownState.js'
+import { LossBoard } from '../../src/follow/LossBoard.js'
+import { StateFeed } from '../../src/follow/StateFeed.js'
+import { Counters } from '../../src/observe/Counters.js'
+import { PlanEntryKind } from '../../src/plan/PlanEntry.js'
+import { PlanState } from '../../src/plan/PlanState.js'
+import { EntryHostTable } from '../../src/registry/EntryHostTable.js'
+import { UpstreamTable } from '../../src/registry/UpstreamTable.js'
+import { HostTransport } from '../../src/transport/HostTransport.js'
+import { planOf, routeOf, submissionOf } from '../plan/planOf.js'
+import { recordOf } from '../registry/recordOf.js'
+import { Forwarder } from '../scenarios/Forwarder.js'
+
+const CONTROL_ADDRESS = '127.78.0.3:7100'
+const LINK_ADDRESS = '127.78.0.4:7100'
+const quiet = { info: () => {}, warn: () => {}, error: () => {} }
+/** The slowest link of an entry host in the users' deployments, 1.4 Mbit/s. */
+const BYTES_PER_SECOND = 175_000
+/** Routes that one change adds there. */
+const ADDED_ROUTES = 1_400
+/** Upstreams of their largest deployment with such a link. */
+const UPSTREAMS = 374
+/** The users' shortest bound on putting a change in force at hosts with such links. */
+const APPLY_MILLISECONDS = 2_500
+
+const nameOf = (number: number): string => (number * 2_654_435_761 % 2 ** 32).toString(36)
+
+async function startPair (context: TestContext) {
+  const options = { peerKey: 'key', dialAddress: (address: string) => address }
+  const control = new HostTransport({ ...options, peerAddress: CONTROL_ADDRESS }, new Counters())
+  const plans = new PlanState()
+  const upstreams = new UpstreamTable({ lostMilliseconds: 60_000 })
+  const feed = new StateFeed({ feed: 'control', plans, upstreams, entryHosts: new EntryHostTable(), losses: new LossBoard(), isCurrent: () => true, listControlHosts: () => [], registerHandler: control.registerHandler })
+  feed.open()
+  await control.listener.open()
+  const link = new Forwarder(LINK_ADDRESS, CONTROL_ADDRESS)
+  link.throttle(BYTES_PER_SECOND)
+  await link.open()
+  const entry = new HostTransport({ ...options, peerAddress: '127.78.0.5:7100' }, new Counters())
+  const known = new KnownState()
+  let left = 0
+  const follower = new ControlFollower({
+    seeds: () => [LINK_ADDRESS],
+    describeHost: () => ({ name: 'entry-1', domain: 'oviedo', region: 'asturias', guestAddress: '127.0.0.1:1', isReady: true, demand: {} }),
+    known,
+    takeLosses: () => [],
+    putLossesBack: () => {},
+    onLosses: () => {},
+    onPlan: () => {},
+    callPeer: entry.callPeer,
+    random: () => 0,
+    log: { ...quiet, warn: () => { left += 1 } }
+  })
+  context.after(async () => {
+    follower.stop()
+    link.stop()
+    await entry.close()
+    await control.close()
+  })
+  return { plans, upstreams, feed, known, follower, countLeft: () => left }
+}
+
+async function waitFor (condition: () => boolean, milliseconds: number): Promise<boolean> {
+  const deadline = performance.now() + milliseconds
+  while (performance.now() < deadline && !condition()) await new Promise((resolve) => { setTimeout(resolve, 20) })
+  return condition()
+}
+
+function addUpstreams (upstreams: UpstreamTable): void {
+  for (let number = 0; number < UPSTREAMS; number += 1) {
+    upstreams.merge(recordOf({ id: `i-${nameOf(number)}`, address: `10.${number % 9}.0.${number}:8080`, domain: `domain-${number % 9}` }))
+  }
+}
+
+test('a plan with many routes is in force in time over a slow link, without leaving the control host', async (context) => {
+  const { plans, upstreams, feed, known, follower, countLeft } = await startPair(context)
+  addUpstreams(upstreams)
+  plans.apply({ kind: PlanEntryKind.Submit, submission: submissionOf(1, 0) }, 1)
+  follower.run().catch(() => {})
+  assert.equal(await waitFor(() => known.plan?.version === 1, 5_000), true)
+  const added = Array.from({ length: ADDED_ROUTES }, (_, number) => routeOf({ name: `r-${nameOf(number)}`, host: `${nameOf(number + 7)}.example`, pathPrefix: `/${nameOf(number + 5)}/` }))
+  const submission = { ...submissionOf(2, 1), plan: planOf(2, [routeOf(), ...added]) }
+  plans.apply({ kind: PlanEntryKind.Submit, submission }, 2)
+  feed.announce()
+  assert.equal(await waitFor(() => known.plan?.version === 2, APPLY_MILLISECONDS), true, `not in force, the control host was left ${countLeft()} times`)
+  assert.equal(known.plan?.routes.length, ADDED_ROUTES + 1)
+  assert.equal(countLeft(), 0)
+})
--- a/__tests__/scenarios/Forwarder.ts
+++ b/__tests__/scenarios/Forwarder.ts
@@ -2,7 +2,7 @@
 import { ByteMeter } from './ByteMeter.js'
 import { FlowDirection } from './FlowDirection.js'
 
-/** Carries TCP connections to one address; it can hold everything back, or delay it. */
+/** Carries TCP connections to one address; it can hold everything back, delay it, or carry only so many bytes a second. */
 export class Forwarder {
   readonly address: string
   /** Bytes from those who connect, and back to them. */
@@ -14,7 +14,9 @@
   readonly #sockets = { [FlowDirection.Forth]: new Set<Socket>(), [FlowDirection.Back]: new Set<Socket>() }
   readonly #waiting: Array<() => void> = []
   readonly #cuts = new Set<FlowDirection>()
+  readonly #freeAt = { [FlowDirection.Forth]: 0, [FlowDirection.Back]: 0 }
   #delayMilliseconds = 0
+  #bytesPerMillisecond = Number.POSITIVE_INFINITY
 
   /**
    * @param address - `ip:port` to listen on
@@ -73,6 +75,11 @@
     this.#delayMilliseconds = milliseconds
   }
 
+  /** @param bytesPerSecond - what all connections together carry each way */
+  throttle (bytesPerSecond: number): void {
+    this.#bytesPerMillisecond = bytesPerSecond / 1_000
+  }
+
   #accept (incoming: Socket): void {
     this.#track(incoming, FlowDirection.Forth)
     incoming.pause()
@@ -97,14 +104,14 @@
     const meter = direction === FlowDirection.Forth ? this.forth : this.back
     from.on('data', (chunk: Buffer) => {
       meter.add(chunk.length)
-      this.#later(() => {
+      this.#later(direction, chunk.length, () => {
         if (to.destroyed || to.write(chunk)) return
         from.pause()
         to.once('drain', () => { if (!this.#cuts.has(direction)) from.resume() })
       })
     })
-    from.on('end', () => { this.#later(() => { to.end() }) })
-    from.on('close', (broken) => { if (broken) this.#later(() => { to.resetAndDestroy() }) })
+    from.on('end', () => { this.#later(direction, 0, () => { to.end() }) })
+    from.on('close', (broken) => { if (broken) this.#later(direction, 0, () => { to.resetAndDestroy() }) })
     if (this.#cuts.has(direction)) from.pause()
     else from.resume()
   }
@@ -116,8 +123,12 @@
     socket.on('close', () => { this.#sockets[direction].delete(socket) })
   }
 
-  #later (action: () => void): void {
-    if (this.#delayMilliseconds === 0) action()
-    else setTimeout(action, this.#delayMilliseconds)
+  #later (direction: FlowDirection, bytes: number, action: () => void): void {
+    const now = performance.now()
+    const sentAt = Math.max(now, this.#freeAt[direction]) + bytes / this.#bytesPerMillisecond
+    this.#freeAt[direction] = sentAt
+    const wait = sentAt - now + this.#delayMilliseconds
+    if (wait === 0) action()
+    else setTimeout(action, wait)
   }
 }
