Let a replica with a stalled disk apply what a majority holds, and tell when it lacks some of it

What callers saw: a confirmed change not in force in time at the entry hosts of one control host. Cause: a replica confirmed an append only once its own disk had it, so a stalled disk held back the entries after it (retries double up to 10 s), and heartbeats committed nothing beyond what it had confirmed. Meanwhile it heard its leader and called itself current, so its entry hosts stayed. Class: 'a leader is heard' taken for 'the newest state is known'. The same in the daemon form, where a host with such a replica told others that its sheet is up to date. Ruled out: reads (a barrier entry is committed first), recalled plans (never newer than committed). Change: a replica answers an append after a heartbeat's time at the latest and tells what it holds and what is durable; only the latter counts for a majority. Before: stalledDisk.test.ts '1 !== 2' (the second change unknown after 2 s); after: known. Conclusion: the bound no longer depends on the disk of the control host that an entry host follows.

--- a/__tests__/agreement/stalledDisk.test.ts
+++ b/__tests__/agreement/stalledDisk.test.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import type { AppendRequest } from '../../src/agreement/messages/AppendRequest.js'
+import { EntryKind } from '../../src/agreement/EntryKind.js'
+import { PeerMethod } from '../../src/types/PeerMethod.js'
 import { SheetCluster, type ClusterHost } from './support/SheetCluster.js'
 
 /** Longer than the users' bound on a change, so that no replica may wait for its own disk. */
@@ -21,3 +24,34 @@
   assert.equal(stalled.replicatedLog.status().hearsLeader, true)
   assert.equal(stalled.registry.current()?.number, 2, 'it hears its leader and does not know of the second change')
 })
+
+test('a replica that lacks committed entries is not current, though it hears its leader', async (context) => {
+  const cluster = await SheetCluster.start(context, 6, 3)
+  const [behind, sender] = cluster.followers() as [ClusterHost, ClusterHost]
+  for (const host of cluster.hosts) if (host !== behind) cluster.kill(host)
+  const { callPeer } = cluster.network.join(sender.address)
+  const { identity: receiver, group = '', term, last } = behind.replicatedLog.status()
+  const entry = { index: last.index + 1, term: term + 1, kind: EntryKind.Empty }
+  const heartbeat: AppendRequest = { sender: sender.replicatedLog.status().identity, receiver, group, term: term + 1, heartbeat: true, previous: last, entries: [], commitIndex: entry.index }
+  await cluster.finish(callPeer(behind.address, PeerMethod.AppendEntries, heartbeat, 1_000))
+  assert.deepEqual(currencyOf(behind), { hearsLeader: true, isCurrent: false })
+  await cluster.finish(callPeer(behind.address, PeerMethod.AppendEntries, { ...heartbeat, heartbeat: false, entries: [entry] }, 1_000))
+  assert.deepEqual(currencyOf(behind), { hearsLeader: true, isCurrent: true })
+})
+
+test('entries of an older leader that are not durable anywhere else are not applied by a heartbeat of the next one', async (context) => {
+  const cluster = await SheetCluster.start(context, 7, 3)
+  const [host, sender] = cluster.followers() as [ClusterHost, ClusterHost]
+  for (const other of cluster.hosts) if (other !== host) cluster.kill(other)
+  const { callPeer } = cluster.network.join(sender.address)
+  const { identity: receiver, group = '', term, last } = host.replicatedLog.status()
+  const request: AppendRequest = { sender: sender.replicatedLog.status().identity, receiver, group, term: term + 1, heartbeat: false, previous: last, entries: [{ index: last.index + 1, term: term + 1, kind: EntryKind.Empty }], commitIndex: 0 }
+  await cluster.finish(callPeer(host.address, PeerMethod.AppendEntries, request, 1_000))
+  await cluster.finish(callPeer(host.address, PeerMethod.AppendEntries, { ...request, term: term + 2, heartbeat: true, entries: [], commitIndex: last.index + 1 }, 1_000))
+  assert.equal(host.replicatedLog.status().appliedIndex, last.index)
+})
+
+function currencyOf ({ replicatedLog }: ClusterHost): { hearsLeader: boolean, isCurrent: boolean } {
+  const { hearsLeader, isCurrent } = replicatedLog.status()
+  return { hearsLeader, isCurrent }
+}
--- a/__tests__/agreement/support/SpreadCluster.ts
+++ b/__tests__/agreement/support/SpreadCluster.ts
@@ -52,7 +52,7 @@
       replicaAddresses: () => this.#cluster.addresses(),
       domainPeers: () => this.#peers(number, true),
       otherPeers: () => this.#peers(number, false),
-      hearsLeader: replica === undefined ? undefined : () => replica.replicatedLog.status().hearsLeader,
+      isCurrent: replica === undefined ? undefined : () => replica.replicatedLog.status().isCurrent,
       folder: withDisk ? '/sheet' : undefined,
       files,
       random: this.#cluster.random,
--- a/src/agreement/Followership.ts
+++ b/src/agreement/Followership.ts
@@ -5,10 +5,15 @@
 import type { ReplicaCore } from './ReplicaCore.js'
 import { ReplicaCounter } from './ReplicaCounter.js'
 import { ReplicaRole } from './ReplicaRole.js'
+import { pause } from '../utils/pause.js'
 
 /** Takes in what the leader sends. */
 export class Followership {
   readonly #core: ReplicaCore
+  /** Up to where this log is known to equal that of a term's leader, durable or not. */
+  #agreed = { term: 0, index: 0 }
+  /** Up to where this log is known to be durable and equal to that of a term's leader. */
+  #durable = { term: 0, index: 0 }
 
   /** @param core - the replica */
   constructor (core: ReplicaCore) {
@@ -22,6 +27,7 @@
     if (core.role === ReplicaRole.Empty) return { term: core.term, success: false, index: 0 }
     if (request.term < core.term) return { term: core.term, success: false, index: core.tail.last.index + 1 }
     core.hear(request.term, request.sender)
+    core.noteLeaderCommit(request.commitIndex)
     const retryAt = this.#mismatch(request)
     if (retryAt !== undefined) return this.#refuse(retryAt)
     return this.#accept(request)
@@ -45,15 +51,27 @@
 
   async #accept (request: AppendRequest): Promise<AppendReply> {
     const core = this.#core
+    const { term } = core
     const index = request.previous.index + request.entries.length
-    const reply = { term: core.term, success: true, index }
     const missing = this.#missing(request.entries)
     const written = missing.length === 0 ? undefined : core.append(missing)
-    core.commitTo(Math.min(request.commitIndex, index))
+    // What a majority holds is committed, also while the own disk has not written it yet.
+    core.commitTo(Math.min(request.commitIndex, advance(this.#agreed, term, index)))
     await core.voteDurable()
-    if (request.heartbeat) return reply
-    await (written ?? core.storage.drainLog())
-    return reply
+    if (request.heartbeat) return { term, success: true, index, held: index }
+    await this.#waitDurable(written ?? core.storage.drainLog(), term, index)
+    return { term, success: true, index: this.#durable.term === term ? Math.min(index, this.#durable.index) : 0, held: index }
+  }
+
+  /** A call that waited on for a stalled disk would keep the entries after it from being sent. */
+  async #waitDurable (written: Promise<void>, term: number, index: number): Promise<void> {
+    const done = new AbortController()
+    const durable = written.then(() => { advance(this.#durable, term, index) })
+    try {
+      await Promise.race([durable, pause(this.#core.timings.heartbeatMilliseconds, done.signal)])
+    } finally {
+      done.abort()
+    }
   }
 
   /** @returns the entries from the first one that this log does not hold */
@@ -63,3 +81,13 @@
     return first === -1 ? [] : entries.slice(first)
   }
 }
+
+/** @returns the highest position of a term that was reached, now that a position is */
+function advance (reached: { term: number, index: number }, term: number, index: number): number {
+  if (term > reached.term) {
+    reached.term = term
+    reached.index = 0
+  }
+  if (term === reached.term) reached.index = Math.max(reached.index, index)
+  return reached.index
+}
--- a/src/agreement/PeerReplication.ts
+++ b/src/agreement/PeerReplication.ts
@@ -89,7 +89,7 @@
     const timeout = progress.timeoutFor(bytes, this.#core.timings)
     const reply = await this.#call(this.#request(progress.nextIndex - 1, entries), timeout)
     if (!progress.active) return
-    progress.nextIndex = reply.success ? reply.index + 1 : Math.min(reply.index, progress.nextIndex - 1)
+    progress.nextIndex = reply.success ? (reply.held ?? reply.index) + 1 : Math.min(reply.index, progress.nextIndex - 1)
     if (!reply.success) return
     progress.matchIndex = Math.max(progress.matchIndex, reply.index)
     this.#advanced()
@@ -106,7 +106,7 @@
       heartbeat: false,
       previous: { index, term: core.tail.termAt(index) ?? 0 },
       entries,
-      commitIndex: previousIndex === index ? core.commitIndex : Math.min(core.commitIndex, previousIndex)
+      commitIndex: core.commitIndex
     }
   }
 
--- a/src/agreement/ReplicaCore.ts
+++ b/src/agreement/ReplicaCore.ts
@@ -42,6 +42,8 @@
   tail = new LogTail()
   commitIndex = 0
   appliedIndex = 0
+  /** Highest commit position that a leader told of. */
+  leaderCommitIndex = 0
   appliedConfiguration: ReplicaConfiguration = { members: [], retired: [] }
   /** When a leader was last heard, or the replica was opened. */
   leaderHeardAt = 0
@@ -154,6 +156,16 @@
     this.timerStartedAt = this.leaderHeardAt
   }
 
+  /** Notes down how far a leader has committed, whether or not this log holds it. */
+  noteLeaderCommit (index: number): void {
+    this.leaderCommitIndex = Math.max(this.leaderCommitIndex, index)
+  }
+
+  /** @returns whether all that is known to be committed is applied, an entry of this term among it */
+  isCaughtUp (): boolean {
+    return this.appliedIndex >= this.leaderCommitIndex && this.appliedPosition().term === this.term
+  }
+
   /** Votes in the current term, at most once. */
   vote (candidate: string): void {
     this.#votedFor = candidate
--- a/src/agreement/ReplicaStatus.ts
+++ b/src/agreement/ReplicaStatus.ts
@@ -16,6 +16,8 @@
   hasQuorum: boolean
   /** Whether this replica is such a leader, or heard one within the shortest election timeout. */
   hearsLeader: boolean
+  /** Whether it hears a leader and has applied all that this leader called committed. */
+  isCurrent: boolean
   /** Last entry of its log, committed or not. */
   last: LogPosition
   commitIndex: number
--- a/src/agreement/ReplicatedLog.ts
+++ b/src/agreement/ReplicatedLog.ts
@@ -116,7 +116,8 @@
     const { identity, group, role, term, leader, commitIndex, appliedIndex, configuration, failure, tail, options } = this.#core
     const hasQuorum = this.#leadership?.takesProposals ?? false
     const hearsLeader = hasQuorum || (role === ReplicaRole.Follower && leader !== undefined && this.#core.hearsLeader())
-    return { identity, address: options.address, group, role, term, leader, hasQuorum, hearsLeader, last: tail.last, commitIndex, appliedIndex, configuration, failure: failure?.message }
+    const isCurrent = hearsLeader && this.#core.isCaughtUp()
+    return { identity, address: options.address, group, role, term, leader, hasQuorum, hearsLeader, isCurrent, last: tail.last, commitIndex, appliedIndex, configuration, failure: failure?.message }
   }
 
   /**
--- a/src/agreement/spread/SheetServer.ts
+++ b/src/agreement/spread/SheetServer.ts
@@ -25,7 +25,7 @@
    */
   deltasSince: (base: DeltaBase, mostCharacters: number) => SheetDelta[] | undefined
   /** @returns whether this host would learn of a newer sheet */
-  hearsLeader: () => boolean
+  isCurrent: () => boolean
 }
 
 /** Tells other hosts which sheet is in force here, and sends it to them. */
@@ -68,7 +68,7 @@
 
   #reply (): RevisionReply {
     const sheet = this.#source.current()?.sheet
-    return { revision: sheet?.revision ?? 0, number: sheet?.number ?? 0, upToDate: this.#source.hearsLeader() }
+    return { revision: sheet?.revision ?? 0, number: sheet?.number ?? 0, upToDate: this.#source.isCurrent() }
   }
 
   async #change (waitMilliseconds: number): Promise<void> {
--- a/src/agreement/spread/SheetSpreader.ts
+++ b/src/agreement/spread/SheetSpreader.ts
@@ -47,7 +47,7 @@
     this.#server = new SheetServer(options.registerHandler, {
       current: () => this.#stored,
       deltasSince: (base, mostCharacters) => this.#history.since(base, mostCharacters),
-      hearsLeader: options.hearsLeader ?? (() => true)
+      isCurrent: options.isCurrent ?? (() => true)
     }, options.counters)
     const { callPeer, counters } = options
     this.#fetcher = new SheetFetcher({ callPeer, counters, pack: (content) => this.#pack(content), partMilliseconds: this.#timings.fetchMilliseconds })
--- a/src/agreement/spread/SpreaderOptions.ts
+++ b/src/agreement/spread/SpreaderOptions.ts
@@ -18,8 +18,8 @@
   domainPeers: () => SpreadPeer[]
   /** @returns the live hosts of other failure domains that this host knows */
   otherPeers: () => SpreadPeer[]
-  /** On a host with a replica: whether the replica hears a leader. */
-  hearsLeader?: () => boolean
+  /** On a host with a replica: whether the replica knows all that its leader committed. */
+  isCurrent?: () => boolean
   /** Folder in which the sheet in force is kept over a restart; undefined on a host without disk. */
   folder?: string
   files: FileOperations
--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -171,10 +171,7 @@
       upstreams: this.#table,
       entryHosts: this.entryHosts,
       losses: new LossBoard(),
-      isCurrent: () => {
-        const { hasQuorum, hearsLeader } = this.#replica.status()
-        return hasQuorum || hearsLeader
-      },
+      isCurrent: () => this.#replica.status().isCurrent,
       listControlHosts: () => [this.#describe(), ...this.#hosts.describe()],
       registerHandler: this.#options.registerHandler
     })
--- a/src/daemon/HostSheets.ts
+++ b/src/daemon/HostSheets.ts
@@ -137,7 +137,7 @@
     const { settings, transport, otherMembers, counters, log } = this.#options
     const { domain } = settings.host
     const registerHandler: RegisterPeerHandler = transport.registerHandler
-    const status = this.replica === undefined ? {} : { hearsLeader: () => this.replica!.replicatedLog.status().hearsLeader }
+    const status = this.replica === undefined ? {} : { isCurrent: () => this.replica!.replicatedLog.status().isCurrent }
     const folder = settings.dataFolder === undefined ? {} : { folder: join(settings.dataFolder, 'sheet') }
     return new SheetSpreader({
       identity: settings.host,
