Compress large answers between hosts, and wait for one that is still arriving

What callers saw: a confirmed change with many routes not in force at hosts with slow links. Cause: a plan goes out whole as plain JSON. With 1,400 routes it has 400 KB, 2.4 s of a link of 1.4 Mbit/s, and the call has 900 ms in all. So it never arrives: the entry host gives up, leaves its control host and asks the next one for plan and upstreams, which takes longer still. Class: a timeout for silence that also cuts off what is on its way. Ruled out: a larger timeout alone, which would keep a dead control host for as long. Both forms share the transport.

--- a/__tests__/transport/callCollector.test.ts
+++ b/__tests__/transport/callCollector.test.ts
@@ -61,7 +61,7 @@
   const { controller, aborted } = createController()
   const collector = new CallCollector(50)
   collector.onRequestStart(controller)
-  collector.onResponseStart(controller, 200)
+  collector.onResponseStart(controller, 200, {})
   collector.onResponseData(controller, Buffer.from('{"a":'))
   collector.onResponseData(controller, Buffer.from('1}'))
   collector.onResponseEnd()
@@ -69,3 +69,20 @@
   await advance(context, 100)
   assert.equal(aborted.length, 0)
 })
+
+test('an answer that keeps arriving over a slow link is waited for, up to three times the timeout', async (context) => {
+  pauseClock(context)
+  const { controller, aborted } = createController()
+  const collector = new CallCollector(50)
+  const failed = assert.rejects(collector.answer, /no answer in time/)
+  collector.onRequestStart(controller)
+  collector.onResponseStart(controller, 200, {})
+  for (let part = 0; part < 3; part += 1) {
+    await advance(context, 40)
+    assert.equal(aborted.length, 0)
+    collector.onResponseData(controller, Buffer.from('x'))
+  }
+  await advance(context, 40)
+  await failed
+  assert.equal(aborted.length, 1)
+})
--- a/src/transport/CallCollector.ts
+++ b/src/transport/CallCollector.ts
@@ -1,4 +1,9 @@
+import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
+import { decodeAnswer, ENCODING, type EncodedAnswer } from './encodeAnswer.js'
+
+/** How many times its timeout a call may take in all, while its answer is arriving: a slow link is no dead peer. */
+const MOST_TIMEOUTS = 3
 
 /** The whole answer to a call. */
 export interface CallAnswer {
@@ -6,24 +11,29 @@
   text: string
 }
 
-/** Follows one call of a peer: collects its answer, and breaks it off at the timeout. */
+/** Follows one call of a peer: collects its answer, and breaks it off when nothing of it comes for the timeout. */
 export class CallCollector implements Dispatcher.DispatchHandler {
   readonly answer: Promise<CallAnswer>
-  readonly #timer: NodeJS.Timeout
+  readonly #timeoutMilliseconds: number
+  #timer: NodeJS.Timeout
   readonly #chunks: Buffer[] = []
   #resolve!: (answer: CallAnswer) => void
   #reject!: (error: Error) => void
   #controller: Dispatcher.DispatchController | undefined
   #late: Error | undefined
   #status = 0
+  #encoding: EncodedAnswer['encoding']
+  readonly #mostEnd: number
 
-  /** @param timeoutMilliseconds - how long the call may take */
+  /** @param timeoutMilliseconds - how long the call may take until its answer begins, and each further part of it */
   constructor (timeoutMilliseconds: number) {
     this.answer = new Promise((resolve, reject) => {
       this.#resolve = resolve
       this.#reject = reject
     })
-    this.#timer = setTimeout(() => { this.#giveUp() }, timeoutMilliseconds)
+    this.#mostEnd = performance.now() + MOST_TIMEOUTS * timeoutMilliseconds
+    this.#timeoutMilliseconds = timeoutMilliseconds
+    this.#timer = this.#startTimer()
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
@@ -32,17 +42,24 @@
     if (this.#late !== undefined) throw this.#late
   }
 
-  onResponseStart (_controller: Dispatcher.DispatchController, status: number): void {
+  onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
     this.#status = status
+    if (headers['content-encoding'] === ENCODING) this.#encoding = ENCODING
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.#chunks.push(chunk)
+    clearTimeout(this.#timer)
+    this.#timer = this.#startTimer()
   }
 
   onResponseEnd (): void {
     clearTimeout(this.#timer)
-    this.#resolve({ status: this.#status, text: Buffer.concat(this.#chunks).toString() })
+    try {
+      this.#resolve({ status: this.#status, text: decodeAnswer({ body: Buffer.concat(this.#chunks), encoding: this.#encoding }) })
+    } catch (error) {
+      this.#reject(error as Error)
+    }
   }
 
   onResponseError (_controller: Dispatcher.DispatchController | null, error: Error): void {
@@ -50,6 +67,11 @@
     this.#reject(error)
   }
 
+  #startTimer (): NodeJS.Timeout {
+    const wait = Math.min(this.#timeoutMilliseconds, this.#mostEnd - performance.now())
+    return setTimeout(() => { this.#giveUp() }, Math.max(0, wait))
+  }
+
   /** A call that still waits for a connection ends at once, and is dropped when its turn comes. */
   #giveUp (): void {
     this.#late = new Error('no answer in time')
--- a/src/transport/PeerClient.ts
+++ b/src/transport/PeerClient.ts
@@ -4,6 +4,7 @@
 import { PeerCallError } from '../errors/PeerCallError.js'
 import type { PeerMethod } from '../types/PeerMethod.js'
 import { CallCollector } from './CallCollector.js'
+import { ENCODING } from './encodeAnswer.js'
 import { callOwnHost, type OwnHost } from './callOwnHost.js'
 import { PeerSignature, SIGNATURE_HEADER } from './PeerSignature.js'
 
@@ -68,7 +69,7 @@
       origin: `http://${this.#dialAddress(address)}`,
       path: RPC_PATH,
       method: 'POST',
-      headers: { 'content-type': 'application/json', [SIGNATURE_HEADER]: this.#signature.sign({ path: RPC_PATH, head: '', body }) },
+      headers: { 'content-type': 'application/json', 'accept-encoding': ENCODING, [SIGNATURE_HEADER]: this.#signature.sign({ path: RPC_PATH, head: '', body }) },
       body,
       headersTimeout: 0,
       bodyTimeout: 0
--- a/src/transport/PeerServer.ts
+++ b/src/transport/PeerServer.ts
@@ -8,6 +8,7 @@
 import { RPC_PATH } from './PeerClient.js'
 import type { PeerSignature } from './PeerSignature.js'
 import { SIGNATURE_HEADER } from './PeerSignature.js'
+import { encodeAnswer } from './encodeAnswer.js'
 import { readBody } from './readBody.js'
 import { RELAY_HEAD_HEADER, RELAY_PATH } from './relayPath.js'
 
@@ -70,8 +71,10 @@
       this.#refuse(response, 404, RefusalReason.UnknownPath)
       return
     }
-    const answer = await this.#methods.receiveJSON(body.toString())
-    response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(answer))
+    const text = JSON.stringify(await this.#methods.receiveJSON(body.toString()))
+    const answer = encodeAnswer(text, String(request.headers['accept-encoding'] ?? ''))
+    const encoding = answer.encoding === undefined ? {} : { 'content-encoding': answer.encoding }
+    response.writeHead(200, { 'content-type': 'application/json', ...encoding }).end(answer.body)
   }
 
   #refuse (response: ServerResponse, status: number, reason: RefusalReason): void {
