Ask a control host only for what changed since it was last followed, and leave one whose plan is old

What callers saw: changes late at some entry hosts; links full of state that was known already. An entry host also stayed with a control host whose plan was older than the one it knew itself. Class: state that is shared by all control hosts kept as if each had its own. Change: positions are kept by control host; versions of plan and evacuations, which all share, are asked for by what is known from any of them; losses that a control host reports are kept by feed. Before: ControlFollower.test.ts, 50 of 50 upstreams sent again on a return; after: the one that changed.

--- a/__tests__/follow/ControlFollower.test.ts
+++ b/__tests__/follow/ControlFollower.test.ts
@@ -9,7 +9,9 @@
 import { EntryHostTable } from '../../src/registry/EntryHostTable.js'
 import { UpstreamTable } from '../../src/registry/UpstreamTable.js'
 import { MemoryNetwork } from '../agreement/support/MemoryNetwork.js'
-import { submissionOf } from '../plan/planOf.js'
+import { UpstreamReadiness } from '../../src/registry/UpstreamRecord.js'
+import { planOf, submissionOf } from '../plan/planOf.js'
+import { replyOf } from './replyOf.js'
 import { recordOf } from '../registry/recordOf.js'
 import { advance, pauseClock } from '../support/pauseClock.js'
 
@@ -89,3 +91,32 @@
   await advance(context, 2_500)
   assert.equal(known.plan?.version, 2)
 })
+
+test('a control host that was followed before tells only what changed since, and a plan that is known comes from none', async (context) => {
+  const { network, feeds, known } = startFollower(context)
+  for (const feed of Object.values(feeds)) {
+    feed.accept(2, 0)
+    for (let number = 0; number < 50; number += 1) feed.upstreams.merge(recordOf({ id: `i-${number}`, address: `10.0.0.${number}:8080` }))
+  }
+  await advance(context, 1_200)
+  assert.equal(feeds.near.feed.isReporter('entry-1'), true)
+  const merge = context.mock.method(known, 'merge')
+  network.leave('near')
+  feeds.far.upstreams.merge(recordOf({ id: 'i-7', address: '10.0.0.7:8080', sequence: 9, readiness: UpstreamReadiness.Draining }))
+  await advance(context, 2_000)
+  const replies = merge.mock.calls.map(({ arguments: [reply] }) => reply)
+  assert.deepEqual(replies.flatMap(({ upstreams }) => upstreams.map(({ record }) => record.id)), ['i-7'])
+  assert.equal(replies.some(({ plan }) => plan !== undefined), false)
+})
+
+test('a control host whose plan is older than the known one is left for another', async (context) => {
+  const { feeds, known } = startFollower(context)
+  feeds.far.accept(2, 0)
+  feeds.near.accept(2, 0)
+  await advance(context, 1_200)
+  known.merge(replyOf({ plan: planOf(3) }))
+  feeds.far.accept(3, 2)
+  feeds.far.accept(4, 3)
+  await advance(context, 2_500)
+  assert.equal(known.plan?.version, 4)
+})
--- a/src/follow/ControlFollower.ts
+++ b/src/follow/ControlFollower.ts
@@ -13,11 +13,11 @@
 const WAIT_MILLISECONDS = 500
 /** Wait for an answer beyond that: a round trip between regions takes 110 ms, and a busy host some more. */
 const ANSWER_MILLISECONDS = 400
-/** The first answer carries the whole state, over links of 1.4 Mbit/s. */
+/** The first answer of a control host carries all upstreams, over links of 1.4 Mbit/s. */
 const FIRST_ANSWER_MILLISECONDS = 1_500
 /** Pause after a failed call, so that hosts that start together don't spin. */
 const RETRY_MILLISECONDS = 100
-/** How long a control host that hears no leader is followed before another is tried. */
+/** How long a control host that is not current is followed before another is tried. */
 const STALE_MILLISECONDS = 600
 
 /** How long after a failure a nearer control host is followed again. */
@@ -51,8 +51,11 @@
 export class ControlFollower {
   readonly #options: ControlFollowerOptions
   #controlHosts: ControlHost[] = []
-  #position: FeedPosition | undefined
+  /** What is known of each control host's feed, so that a return to it costs only what changed. */
+  readonly #positions = new Map<string, FeedPosition>()
   #current: string | undefined
+  /** Whether the present control host has answered. */
+  #isFollowing = false
   #currentSince = 0
   readonly #failedAt = new Map<string, number>()
   #running = false
@@ -84,7 +87,7 @@
   /** Tells the followed control host at once how this host is, as before a planned stop. */
   async report (): Promise<void> {
     if (this.#current === undefined) return
-    const request: FollowRequest = { entryHost: this.#options.describeHost(), position: this.#position, waitMilliseconds: 0, losses: [] }
+    const request: FollowRequest = { entryHost: this.#options.describeHost(), position: this.#positionAt(this.#current), waitMilliseconds: 0, losses: [] }
     try {
       await this.#options.callPeer<FollowReply>(this.#current, PeerMethod.Follow, request, ANSWER_MILLISECONDS)
     } catch (error) {
@@ -95,9 +98,8 @@
   async #follow (address: string): Promise<boolean> {
     const { describeHost, callPeer, takeLosses, putLossesBack } = this.#options
     const losses = takeLosses()
-    const isFirst = this.#position === undefined
-    const request: FollowRequest = { entryHost: describeHost(), position: this.#position, waitMilliseconds: WAIT_MILLISECONDS, losses }
-    const timeout = isFirst ? FIRST_ANSWER_MILLISECONDS : WAIT_MILLISECONDS + ANSWER_MILLISECONDS
+    const request: FollowRequest = { entryHost: describeHost(), position: this.#positionAt(address), waitMilliseconds: WAIT_MILLISECONDS, losses }
+    const timeout = !this.#isFollowing ? FIRST_ANSWER_MILLISECONDS : WAIT_MILLISECONDS + ANSWER_MILLISECONDS
     try {
       this.#takeIn(address, await callPeer<FollowReply>(address, PeerMethod.Follow, request, timeout))
       return true
@@ -110,18 +112,20 @@
 
   #takeIn (address: string, reply: FollowReply): void {
     const { known, onPlan, onLosses, log } = this.#options
-    if (this.#position === undefined) log.info('control-host-followed', { step: Step.Follow, peer: address, plan: reply.position.planVersion, current: reply.isCurrent, upstreams: reply.upstreams.length })
-    this.#position = reply.position
+    if (!this.#isFollowing) log.info('control-host-followed', { step: Step.Follow, peer: address, plan: reply.position.planVersion, current: reply.isCurrent, upstreams: reply.upstreams.length, complete: reply.isComplete })
+    this.#isFollowing = true
+    this.#notePosition(address, reply.position)
     if (reply.controlHosts.length > 0) this.#controlHosts = reply.controlHosts
     if (reply.losses.length > 0) onLosses(reply.losses)
     if (known.merge(reply)) onPlan()
     const now = performance.now()
-    if (reply.isCurrent) {
+    // A control host may take itself for current until it hears its leader; a plan known here proves that it is behind.
+    if (reply.isCurrent && reply.position.planVersion >= (known.plan?.version ?? 0)) {
       this.#heardAt = now
       this.#currentSince = now
       this.#failedAt.delete(address)
       this.#moveNearer(address)
-    } else if (now - this.#currentSince > STALE_MILLISECONDS) this.#leave(address, 'hears no leader')
+    } else if (now - this.#currentSince > STALE_MILLISECONDS) this.#leave(address, 'is not current')
   }
 
   /** The settings name few control hosts; one nearby, known from the answers, costs less traffic between regions. */
@@ -131,14 +135,26 @@
     this.#options.log.info('control-host-changed', { step: Step.Follow, peer: nearest.address, from: address })
     this.#current = nearest.address
     this.#currentSince = performance.now()
-    this.#position = undefined
+    this.#isFollowing = false
   }
 
   #leave (address: string, cause: string): void {
     this.#options.log.warn('control-host-left', { step: Step.Follow, peer: address, cause, age: Math.round(this.ageMilliseconds) })
     this.#failedAt.set(address, performance.now())
     this.#current = undefined
-    this.#position = undefined
+    this.#isFollowing = false
+  }
+
+  #notePosition (address: string, position: FeedPosition): void {
+    const former = this.#positions.get(address)
+    if (former !== undefined && former.feed !== position.feed) this.#options.known.forgetFeed(former.feed)
+    this.#positions.set(address, position)
+  }
+
+  #positionAt (address: string): FeedPosition {
+    const { plan, evacuationRevision } = this.#options.known
+    const position = this.#positions.get(address) ?? { feed: '', revision: 0, lossRevision: 0 }
+    return { ...position, planVersion: plan?.version ?? 0, evacuationRevision }
   }
 
   /** Stays with the present one; else the one that failed longest ago, if ever, near ones first. */
--- a/src/follow/FollowMessages.ts
+++ b/src/follow/FollowMessages.ts
@@ -6,20 +6,22 @@
 
 /** What an entry host has of one control host's feed. */
 export interface FeedPosition {
-  /** Identifies one life of the control host; its revisions mean nothing to another. */
+  /** Identifies one life of the control host; its revisions mean nothing to another. Empty when none of its news are known. */
   feed: string
   /** Of the table of upstreams. */
   revision: number
   /** Of the list of requests that killed upstreams. */
   lossRevision: number
+  /** Newest plan known, from whichever control host: they share the log of plans. */
   planVersion: number
+  /** Newest evacuations known, likewise. */
   evacuationRevision: number
 }
 
 /** Asks a control host for what changed; the answer waits for a change for a while. */
 export interface FollowRequest {
   entryHost: EntryHost
-  position: FeedPosition | undefined
+  position: FeedPosition
   /** Longest wait for a change. */
   waitMilliseconds: number
   /** Requests that killed upstreams, seen since the last call. */
--- a/src/follow/KnownState.ts
+++ b/src/follow/KnownState.ts
@@ -18,7 +18,10 @@
   #services = new Map<string, PlanService>()
   #evacuated = new Set<string>()
   #evacuationRevision = -1
-  #lost = new Set<string>()
+  /** Upstreams that a control host has not heard for long, by its feed. */
+  readonly #lost = new Map<string, Set<string>>()
+  /** The feed that is followed. */
+  #feed = ''
   #byService: Map<string, UpstreamEntry[]> | undefined
   #entryHosts = 0
   readonly #heldDemand = new HeldDemand()
@@ -67,9 +70,19 @@
     return this.#evacuated.has(domain)
   }
 
-  /** Whether the control hosts have not heard an upstream for long. */
+  /** Rises with each change of the evacuations; -1 before the first news. */
+  get evacuationRevision (): number {
+    return this.#evacuationRevision
+  }
+
+  /** Whether the control host that is followed has not heard an upstream for long. */
   isLost (id: string): boolean {
-    return this.#lost.has(id)
+    return this.#lost.get(this.#feed)?.has(id) === true
+  }
+
+  /** Forgets what a control host said in a life that has ended. */
+  forgetFeed (feed: string): void {
+    this.#lost.delete(feed)
   }
 
   /**
@@ -83,12 +96,7 @@
     this.#heldDemand.update(reply.demand, performance.now())
     this.#smoothedDemand.update(reply.demand, performance.now())
     this.#mergeEvacuations(reply)
-    for (const { record, isLost } of reply.upstreams) {
-      this.upstreams.merge(record)
-      if (isLost) this.#lost.add(record.id)
-      else this.#lost.delete(record.id)
-    }
-    if (reply.upstreams.length > 0) this.#byService = undefined
+    this.#mergeUpstreams(reply)
     return this.#mergePlan(reply.plan)
   }
 
@@ -115,6 +123,18 @@
     return groups
   }
 
+  #mergeUpstreams ({ upstreams, position }: FollowReply): void {
+    this.#feed = position.feed
+    const lost = this.#lost.get(position.feed) ?? new Set()
+    this.#lost.set(position.feed, lost)
+    for (const { record, isLost } of upstreams) {
+      this.upstreams.merge(record)
+      if (isLost) lost.add(record.id)
+      else lost.delete(record.id)
+    }
+    if (upstreams.length > 0) this.#byService = undefined
+  }
+
   #mergeEvacuations ({ evacuated, position }: FollowReply): void {
     if (evacuated === undefined || position.evacuationRevision <= this.#evacuationRevision) return
     this.#evacuated = new Set(evacuated)
--- a/src/follow/StateFeed.ts
+++ b/src/follow/StateFeed.ts
@@ -72,9 +72,9 @@
     return this.#describe(request.position)
   }
 
-  #hasNews (position: FeedPosition | undefined): boolean {
+  #hasNews (position: FeedPosition): boolean {
     const { feed, plans, upstreams, losses } = this.#options
-    if (position === undefined || position.feed !== feed) return true
+    if (position.feed !== feed) return true
     if (position.planVersion < (plans.plan?.version ?? 0)) return true
     if (position.evacuationRevision < plans.evacuationRevision) return true
     return position.revision < upstreams.revision || position.lossRevision < losses.revision
@@ -92,14 +92,14 @@
     })
   }
 
-  #describe (position: FeedPosition | undefined): FollowReply {
+  #describe (position: FeedPosition): FollowReply {
     const { feed, plans, upstreams, losses } = this.#options
-    const isComplete = position === undefined || position.feed !== feed
+    const isComplete = position.feed !== feed
     const { plan, evacuationRevision } = plans
     return {
       position: { feed, revision: upstreams.revision, lossRevision: losses.revision, planVersion: plan?.version ?? 0, evacuationRevision },
-      plan: plan !== undefined && plan.version > (position?.planVersion ?? 0) ? plan : undefined,
-      evacuated: evacuationRevision > (position?.evacuationRevision ?? -1) ? plans.evacuated : undefined,
+      plan: plan !== undefined && plan.version > position.planVersion ? plan : undefined,
+      evacuated: evacuationRevision > position.evacuationRevision ? plans.evacuated : undefined,
       upstreams: upstreams.changedSince(isComplete ? 0 : position.revision).map(describeUpstream),
       isComplete,
       isCurrent: this.#options.isCurrent(),
