Log late event loops, the reading of bodies, and replicas that are not current

Change: event-loop-late with a gauge; read, timeout and loop in each request's line; replica-not-current and replica-current at control hosts. No decision changed.

--- a/__performance_tests__/placement/ModelDay.ts
+++ b/__performance_tests__/placement/ModelDay.ts
@@ -192,6 +192,7 @@
       guestDeadline: now + remaining,
       deadline: now + Math.min(remaining, kind.timeoutMilliseconds),
       arrivedAt: now,
+      readMilliseconds: 0,
       cancelled: new AbortController().signal
     })
     this.#network.requests.delete(id)
--- a/__performance_tests__/placement/createModelHost.ts
+++ b/__performance_tests__/placement/createModelHost.ts
@@ -47,6 +47,7 @@
     random: network.random,
     counters: new Counters(),
     latencies: new LatencyBuckets(),
+    loopLateMilliseconds: () => 0,
     log: quiet
   })
   return { name, domain, known, admission, relay }
--- a/__tests__/entry/EntryRelay.test.ts
+++ b/__tests__/entry/EntryRelay.test.ts
@@ -72,12 +72,13 @@
     random: () => 0,
     counters: new Counters(),
     latencies: new LatencyBuckets(),
+    loopLateMilliseconds: () => 0,
     log: { ...quiet, info: keepLine, warn: keepLine }
   })
   // Nothing is known of the number of hosts at first; the share of retries is that of a host that knows.
   Object.defineProperty(known, 'entryHosts', { value: 1 })
   const now = performance.now()
-  const request: EntryRequest = { id: ID, method: 'GET', path: '/lookups/1', headers: [], body: Buffer.alloc(0), route: routeOf(part), objectKey: '1', guestDeadline: now + 1_000, deadline: now + 1_000, arrivedAt: now, cancelled: new AbortController().signal }
+  const request: EntryRequest = { id: ID, method: 'GET', path: '/lookups/1', headers: [], body: Buffer.alloc(0), route: routeOf(part), objectKey: '1', guestDeadline: now + 1_000, deadline: now + 1_000, arrivedAt: now, readMilliseconds: 0, cancelled: new AbortController().signal }
   const result = await relay.serve(request)
   context.after(async () => {
     await connections.destroy()
--- a/src/control/ReplicaKeeper.ts
+++ b/src/control/ReplicaKeeper.ts
@@ -49,6 +49,7 @@
   readonly #startedAt = performance.now()
   #running = false
   #heardLeaderAt = performance.now()
+  #isCurrent = false
 
   /** @param options - the replica and its peers */
   constructor (options: ReplicaKeeperOptions) {
@@ -69,7 +70,8 @@
   }
 
   async #step (): Promise<void> {
-    const { role, hasQuorum, hearsLeader } = this.#options.replica.status()
+    const { role, hasQuorum, hearsLeader, isCurrent } = this.#options.replica.status()
+    this.#noteCurrency(isCurrent)
     const now = performance.now()
     if (hasQuorum || hearsLeader) this.#heardLeaderAt = now
     if (role === ReplicaRole.Empty) await this.#enter()
@@ -77,6 +79,14 @@
     else if (now - this.#heardLeaderAt > ORPHAN_MILLISECONDS) await this.#checkRetired()
   }
 
+  /** Writes a line when this replica begins or ceases to know all that is committed. */
+  #noteCurrency (isCurrent: boolean): void {
+    if (isCurrent === this.#isCurrent) return
+    this.#isCurrent = isCurrent
+    const { term, leader, appliedIndex, commitIndex, hearsLeader } = this.#options.replica.status()
+    this.#options.log.info(isCurrent ? 'replica-current' : 'replica-not-current', { step: Step.Registry, term, leader, applied: appliedIndex, committed: commitIndex, hearsLeader })
+  }
+
   async #enter (): Promise<void> {
     if (this.#mayBootstrap() && await this.#bootstrap()) return
     for (const address of this.#options.listPeers()) {
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -2,6 +2,7 @@
 import { ControlFollower } from '../follow/ControlFollower.js'
 import { KnownState } from '../follow/KnownState.js'
 import type { Counters } from '../observe/Counters.js'
+import { EventLoopWatch } from '../observe/EventLoopWatch.js'
 import type { LatencyBuckets } from '../observe/LatencyBuckets.js'
 import type { Log } from '../observe/Log.js'
 import type { RetryBound } from '../placement/RetryShare.js'
@@ -65,6 +66,7 @@
   readonly #connections = new UpstreamConnections()
   readonly #poison = new PoisonGuard()
   readonly #admission = new ServiceAdmission(this.#known, this.#loads)
+  readonly #loop: EventLoopWatch
   readonly #follower: ControlFollower
   readonly #listener: HttpListener
   #isListening = false
@@ -75,6 +77,7 @@
   constructor (options: EntryHostOptions) {
     this.#options = options
     const crashes = new CrashWatch(this.#poison, options.log)
+    this.#loop = new EventLoopWatch(options.log, options.counters)
     this.#follower = this.#createFollower(crashes)
     const guests = new GuestListener({ ...options, known: this.#known, relay: this.#createRelay(crashes) })
     this.#listener = new HttpListener({
@@ -94,6 +97,7 @@
   async start (): Promise<void> {
     this.#follower.run().catch((error: unknown) => { this.#options.log.error('follower-failed', { step: Step.Follow, cause: String(error) }) })
     await this.#listener.open()
+    this.#loop.start()
     this.#isListening = true
     this.#tidy = setInterval(() => { this.#forgetGone() }, TIDY_MILLISECONDS)
   }
@@ -113,6 +117,7 @@
     const cut = this.#listener.inFlight
     this.#follower.stop()
     clearInterval(this.#tidy)
+    this.#loop.stop()
     return cut
   }
 
@@ -150,6 +155,7 @@
       random,
       counters,
       latencies,
+      loopLateMilliseconds: () => this.#loop.lateMilliseconds,
       log
     })
   }
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -53,6 +53,8 @@
   random: () => number
   counters: Counters
   latencies: LatencyBuckets
+  /** @returns how late the event loop ran lately */
+  loopLateMilliseconds: () => number
   log: Log
 }
 
--- a/src/entry/EntryRequest.ts
+++ b/src/entry/EntryRequest.ts
@@ -18,6 +18,8 @@
   /** When an answer is due here: the guest's deadline or the route's timeout, whichever comes first. */
   deadline: number
   arrivedAt: number
+  /** How long its body took to arrive, in milliseconds. */
+  readMilliseconds: number
   /** Aborted when the guest goes away. */
   cancelled: AbortSignal
 }
--- a/src/entry/GuestListener.ts
+++ b/src/entry/GuestListener.ts
@@ -92,6 +92,7 @@
       guestDeadline,
       deadline: Math.min(guestDeadline, arrivedAt + route.timeoutMilliseconds),
       arrivedAt,
+      readMilliseconds: performance.now() - arrivedAt,
       cancelled
     }
   }
--- a/src/entry/noteAnswer.ts
+++ b/src/entry/noteAnswer.ts
@@ -14,6 +14,7 @@
   known: KnownState
   counters: Counters
   latencies: LatencyBuckets
+  loopLateMilliseconds: () => number
   log: Log
 }
 
@@ -25,7 +26,7 @@
  * @param track - what became of it
  * @param answer - what the guest gets
  */
-export function noteAnswer ({ known, counters, latencies, log }: AnswerNotes, request: EntryRequest, track: RequestTrack, answer: RelayAnswer): void {
+export function noteAnswer ({ known, counters, latencies, loopLateMilliseconds, log }: AnswerNotes, request: EntryRequest, track: RequestTrack, answer: RelayAnswer): void {
   if (answer.reason !== undefined) counters.increment(refusalCounter(answer.reason))
   const took = performance.now() - request.arrivedAt
   latencies.record(answer.outcome, took / 1_000)
@@ -37,6 +38,7 @@
     plan: known.plan?.version,
     tried: track.attempts.join(','),
     object: request.objectKey,
+    read: Math.round(request.readMilliseconds),
     waited: track.waited,
     candidates: track.candidates,
     rank: track.rank,
@@ -46,7 +48,9 @@
     reason: answer.reason,
     cause: track.cause,
     status: answer.status,
-    took: Math.round(took)
+    took: Math.round(took),
+    timeout: request.route.timeoutMilliseconds,
+    loop: loopLateMilliseconds()
   }
   if (answer.outcome === Outcome.Ran) log.info('request-answered', fields)
   else log.warn('request-failed', fields)
--- /dev/null
+++ b/src/observe/EventLoopWatch.ts
@@ -0,0 +1,55 @@
+import { Step } from '../types/Step.js'
+import type { Counters } from './Counters.js'
+import type { Log } from './Log.js'
+
+const CHECK_MILLISECONDS = 50
+/** Lateness that is logged: a tenth of a second more would be seen by guests whose answers are due. */
+const LOGGED_MILLISECONDS = 150
+/** Checks over which the longest lateness is kept: two seconds. */
+const KEPT_CHECKS = 40
+const GAUGE = 'event-loop.late-milliseconds'
+
+/**
+ * Measures how late the event loop runs. A loop that is late reads requests, closes and answers late, which no other
+ * time that is measured in the process shows.
+ */
+export class EventLoopWatch {
+  readonly #log: Log
+  readonly #counters: Counters
+  readonly #late: number[] = []
+  #dueAt = 0
+  #timer: NodeJS.Timeout | undefined
+
+  /**
+   * @param log - gets a line for each late turn
+   * @param counters - gets the lateness as a gauge
+   */
+  constructor (log: Log, counters: Counters) {
+    this.#log = log
+    this.#counters = counters
+  }
+
+  /** Longest lateness of the last two seconds, in milliseconds. */
+  get lateMilliseconds (): number {
+    return Math.round(Math.max(0, ...this.#late))
+  }
+
+  start (): void {
+    this.#dueAt = performance.now() + CHECK_MILLISECONDS
+    this.#timer = setInterval(() => { this.#check() }, CHECK_MILLISECONDS)
+  }
+
+  stop (): void {
+    clearInterval(this.#timer)
+  }
+
+  #check (): void {
+    const now = performance.now()
+    const late = Math.max(0, now - this.#dueAt)
+    this.#dueAt = now + CHECK_MILLISECONDS
+    this.#late.push(late)
+    if (this.#late.length > KEPT_CHECKS) this.#late.shift()
+    this.#counters.gauge(GAUGE, this.lateMilliseconds)
+    if (late >= LOGGED_MILLISECONDS) this.#log.warn('event-loop-late', { step: Step.Ingress, late: Math.round(late) })
+  }
+}
