Look for a guest's close once more before its request is sent on

What callers saw: work went on for callers that had left. Cause: the event loop reads each connection once a turn, first the request, the close behind it a turn later. A host that was short of processor time read requests late whose guests had left long before, and sent each to an upstream before it read the close. Class: work begun on input that was already withdrawn when it was read. Change: after a request is read the loop polls once more; a guest that has left by then gets nothing started. The daemon form had the same and has the same mend.

--- a/__tests__/entry/EntryRelay.test.ts
+++ b/__tests__/entry/EntryRelay.test.ts
@@ -1,21 +1,10 @@
 import assert from 'node:assert/strict'
 import { test, type TestContext } from 'node:test'
-import { CrashWatch } from '../../src/entry/CrashWatch.js'
-import { EntryRelay } from '../../src/entry/EntryRelay.js'
 import type { EntryRequest } from '../../src/entry/EntryRequest.js'
-import { ServiceAdmission } from '../../src/entry/ServiceAdmission.js'
-import { UpstreamConnections } from '../../src/entry/UpstreamConnections.js'
-import { UpstreamLoads } from '../../src/entry/UpstreamLoads.js'
-import { KnownState } from '../../src/follow/KnownState.js'
-import { Counters } from '../../src/observe/Counters.js'
-import { LatencyBuckets } from '../../src/observe/LatencyBuckets.js'
 import type { PlanRoute } from '../../src/plan/RoutingPlan.js'
-import { PoisonGuard } from '../../src/relay/PoisonGuard.js'
 import { RequestClass } from '../../src/types/RequestClass.js'
-import { upstreamProtocol } from '../../platform/wire/upstreamProtocol.js'
-import { replyOf } from '../follow/replyOf.js'
-import { planOf, routeOf } from '../plan/planOf.js'
-import { recordOf } from '../registry/recordOf.js'
+import { routeOf } from '../plan/planOf.js'
+import { relayOf } from './relayOf.js'
 import { openRawServer, type RawServer } from '../support/rawServer.js'
 
 const quiet = { info: () => {}, warn: () => {}, error: () => {} }
@@ -48,35 +37,9 @@
 async function serve (context: TestContext, first: Respond, part: Partial<PlanRoute> = {}): Promise<Outcome> {
   let sends = 0
   const servers: RawServer[] = []
-  const known = new KnownState()
   const respond: Respond = (socket, head, count) => { (++sends === 1 ? first : good)(socket, head, count) }
   for (let number = 0; number < 2; number += 1) servers.push(await openRawServer(respond))
-  const upstreams = servers.map(({ address }, number) => ({ record: recordOf({ id: `i-${number}`, address }), isLost: false }))
-  known.merge(replyOf({ plan: planOf(1), upstreams, isComplete: true, entryHosts: 1 }))
-  const connections = new UpstreamConnections()
-  const poison = new PoisonGuard()
-  const loads = new UpstreamLoads(known)
-  const relay = new EntryRelay({
-    hostName: 'entry-1',
-    region: 'asturias',
-    known,
-    loads,
-    admission: new ServiceAdmission(known, loads),
-    connections,
-    protocol: upstreamProtocol,
-    poison,
-    crashes: new CrashWatch(poison, quiet),
-    retryBound: () => ({ ratio: 0.2, allowance: 1_000_000, windowMilliseconds: 10_000 }),
-    regionOf: () => 'asturias',
-    answerBufferBytes: 1024,
-    random: () => 0,
-    counters: new Counters(),
-    latencies: new LatencyBuckets(),
-    loopLateMilliseconds: () => 0,
-    log: { ...quiet, info: keepLine, warn: keepLine }
-  })
-  // Nothing is known of the number of hosts at first; the share of retries is that of a host that knows.
-  Object.defineProperty(known, 'entryHosts', { value: 1 })
+  const { relay, connections } = relayOf(servers.map(({ address }) => address), part, { log: { ...quiet, info: keepLine, warn: keepLine } })
   const now = performance.now()
   const request: EntryRequest = { id: ID, method: 'GET', path: '/lookups/1', headers: [], body: Buffer.alloc(0), route: routeOf(part), objectKey: '1', guestDeadline: now + 1_000, deadline: now + 1_000, arrivedAt: now, readMilliseconds: 0, cancelled: new AbortController().signal }
   const result = await relay.serve(request)
--- /dev/null
+++ b/__tests__/entry/openGuestScene.ts
@@ -0,0 +1,60 @@
+import { connect, type Socket } from 'node:net'
+import type { TestContext } from 'node:test'
+import { readGuestFields } from '../../platform/wire/readGuestFields.js'
+import { GuestListener } from '../../src/entry/GuestListener.js'
+import { Counters } from '../../src/observe/Counters.js'
+import type { PlanRoute } from '../../src/plan/RoutingPlan.js'
+import { HttpListener } from '../../src/transport/HttpListener.js'
+import { openRawServer, type RawServer } from '../support/rawServer.js'
+import { relayOf } from './relayOf.js'
+
+const ADDRESS = '127.79.0.1:7000'
+const quiet = { info: () => {}, warn: () => {}, error: () => {} }
+
+/** An entry host's listener before upstreams that the test writes byte by byte. */
+export interface GuestScene {
+  upstreams: RawServer[]
+  /** Connects as a guest does. */
+  connect: () => Promise<GuestSocket>
+}
+
+/** A guest's connection. */
+export interface GuestSocket {
+  socket: Socket
+  /** All that was received. */
+  text: () => string
+  closed: Promise<void>
+}
+
+/** Opens upstreams that answer as given, and an entry host's listener before them. */
+export async function openGuestScene (context: TestContext, respond: Parameters<typeof openRawServer>[0], part: Partial<PlanRoute> = {}, upstreamCount = 1): Promise<GuestScene> {
+  const upstreams: RawServer[] = []
+  for (let number = 0; number < upstreamCount; number += 1) upstreams.push(await openRawServer(respond))
+  const { relay, known, connections } = relayOf(upstreams.map(({ address }) => address), part)
+  const guests = new GuestListener({ known, relay, readFields: readGuestFields, random: () => 0, counters: new Counters(), log: quiet })
+  const listener = new HttpListener({ address: ADDRESS, headerBytes: 16_384, handle: (message, response) => guests.handle(message, response), onMalformed: () => '' })
+  await listener.open()
+  context.after(async () => {
+    listener.destroy()
+    await listener.closeWithin(0)
+    await connections.destroy()
+    for (const upstream of upstreams) await upstream.close()
+  })
+  return { upstreams, connect: connectGuest }
+}
+
+/** @returns the head of a guest's request */
+export function headOf (method = 'GET', extra = ''): string {
+  return `${method} /lookups/1 HTTP/1.1\r\nhost: stock.example\r\nattempt-id: attempt-1\r\ndeadline-ms: 3000\r\n${extra}\r\n`
+}
+
+async function connectGuest (): Promise<GuestSocket> {
+  const [host, port] = ADDRESS.split(':')
+  const socket = connect({ host, port: Number(port) })
+  let text = ''
+  socket.on('data', (chunk) => { text += chunk.toString() })
+  socket.on('error', () => {})
+  const closed = new Promise<void>((resolve) => { socket.once('close', () => { resolve() }) })
+  await new Promise<void>((resolve) => { socket.once('connect', resolve) })
+  return { socket, text: () => text, closed }
+}
--- /dev/null
+++ b/__tests__/entry/relayOf.ts
@@ -0,0 +1,61 @@
+import { upstreamProtocol } from '../../platform/wire/upstreamProtocol.js'
+import { CrashWatch } from '../../src/entry/CrashWatch.js'
+import { EntryRelay, type EntryRelayOptions } from '../../src/entry/EntryRelay.js'
+import { ServiceAdmission } from '../../src/entry/ServiceAdmission.js'
+import { UpstreamConnections } from '../../src/entry/UpstreamConnections.js'
+import { UpstreamLoads } from '../../src/entry/UpstreamLoads.js'
+import { KnownState } from '../../src/follow/KnownState.js'
+import { Counters } from '../../src/observe/Counters.js'
+import { LatencyBuckets } from '../../src/observe/LatencyBuckets.js'
+import type { PlanRoute } from '../../src/plan/RoutingPlan.js'
+import { PoisonGuard } from '../../src/relay/PoisonGuard.js'
+import { replyOf } from '../follow/replyOf.js'
+import { planOf, routeOf } from '../plan/planOf.js'
+import { recordOf } from '../registry/recordOf.js'
+
+const quiet = { info: () => {}, warn: () => {}, error: () => {} }
+
+/** A relay with its knowledge and connections. */
+export interface RelayScene {
+  relay: EntryRelay
+  known: KnownState
+  connections: UpstreamConnections
+}
+
+/**
+ * @param addresses - of the upstreams of its only service
+ * @param part - of its only route
+ * @param options - of the relay, where a test needs others
+ * @returns a relay that knows a plan and upstreams
+ */
+export function relayOf (addresses: string[], part: Partial<PlanRoute> = {}, options: Partial<EntryRelayOptions> = {}): RelayScene {
+  const known = new KnownState()
+  const upstreams = addresses.map((address, number) => ({ record: recordOf({ id: `i-${number}`, address }), isLost: false }))
+  known.merge(replyOf({ plan: planOf(1, [routeOf(part)]), upstreams, isComplete: true, entryHosts: 1 }))
+  // Nothing is known of the number of hosts at first; the share of retries is that of a host that knows.
+  Object.defineProperty(known, 'entryHosts', { value: 1 })
+  const connections = new UpstreamConnections()
+  const poison = new PoisonGuard()
+  const loads = new UpstreamLoads(known)
+  const relay = new EntryRelay({
+    hostName: 'entry-1',
+    region: 'asturias',
+    known,
+    loads,
+    admission: new ServiceAdmission(known, loads),
+    connections,
+    protocol: upstreamProtocol,
+    poison,
+    crashes: new CrashWatch(poison, quiet),
+    retryBound: () => ({ ratio: 0.2, allowance: 1_000_000, windowMilliseconds: 10_000 }),
+    regionOf: () => 'asturias',
+    answerBufferBytes: 1024,
+    random: () => 0,
+    counters: new Counters(),
+    latencies: new LatencyBuckets(),
+    loopLateMilliseconds: () => 0,
+    log: quiet,
+    ...options
+  })
+  return { relay, known, connections }
+}
--- a/__tests__/guest/GuestInterface.test.ts
+++ b/__tests__/guest/GuestInterface.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
 import { connect } from 'node:net'
 import { after, before, test } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { request } from 'undici'
 import { GuestInterface } from '../../src/guest/GuestInterface.js'
 import { Counters } from '../../src/observe/Counters.js'
@@ -108,3 +110,14 @@
   for await (const chunk of socket) text += String(chunk)
   return text
 }
+
+test('a request whose guest has left before it was read is not passed on', async () => {
+  const before = served.length
+  const [host, port] = ADDRESS.split(':')
+  const guest = connect({ host, port: Number(port) })
+  await once(guest, 'connect')
+  guest.write('GET /v1/services/desk/left HTTP/1.1\r\nhost: desk\r\n\r\n')
+  guest.destroy()
+  while (counters.read('refused.cancelled') === 0) await sleep(5)
+  assert.equal(served.length, before)
+})
--- a/src/entry/GuestListener.ts
+++ b/src/entry/GuestListener.ts
@@ -11,6 +11,7 @@
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
 import { listEndToEndHeaders } from '../guest/listEndToEndHeaders.js'
 import { readBody } from '../transport/readBody.js'
+import { waitForClose } from '../transport/waitForClose.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { Step } from '../types/Step.js'
 import type { EntryRelay } from './EntryRelay.js'
@@ -63,11 +64,20 @@
     response.once('close', () => { if (!response.writableFinished) cancellation.abort() })
     const request = await this.#read(message, cancellation.signal)
     if (typeof request === 'string') return this.#refuse(message, response, request)
+    if (await waitForClose(message)) return this.#drop(response, request)
     const answer = await this.#options.relay.serve(request)
     if (response.destroyed) return
     await this.#deliver(response, answer, request)
   }
 
+  /** The guest left before its request was sent anywhere. */
+  #drop (response: ServerResponse, { id, route, readMilliseconds }: EntryRequest): void {
+    const { counters, log, known } = this.#options
+    counters.increment(refusalCounter(RefusalReason.Cancelled))
+    log.warn('request-dropped', { step: Step.Ingress, request: id, reason: RefusalReason.Cancelled, route: route.name, plan: known.plan?.version, read: Math.round(readMilliseconds) })
+    response.destroy()
+  }
+
   async #read (message: IncomingMessage, cancelled: AbortSignal): Promise<EntryRequest | RefusalReason> {
     const { known, readFields } = this.#options
     const arrivedAt = performance.now()
--- a/src/guest/GuestInterface.ts
+++ b/src/guest/GuestInterface.ts
@@ -12,6 +12,7 @@
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
 import type { LimitSettings, TimingSettings } from '../settings/Settings.js'
 import { readBody } from '../transport/readBody.js'
+import { waitForClose } from '../transport/waitForClose.js'
 import { Outcome } from '../types/Outcome.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import type { Sheet } from '../types/Sheet.js'
@@ -106,11 +107,20 @@
     const sheet = this.#options.currentSheet()
     const request = await readGuestRequest(message, { sheet, limits, timings, cancelled: cancellation.signal })
     if (typeof request === 'string') return this.#refuse(message, response, request)
+    if (await waitForClose(message)) return this.#drop(response, request.id)
     const guestPlace = sheet?.guestBlocks.findPlace(message.socket.remoteAddress ?? '')
     const answer = await this.#options.ingress.serve(request, guestPlace)
     await this.#deliver(response, answer, request.id)
   }
 
+  /** The guest left before its request was passed on. */
+  #drop (response: ServerResponse, id: string): void {
+    const reason = RefusalReason.Cancelled
+    this.#options.counters.increment(refusalCounter(reason))
+    this.#options.log.warn('request-dropped', { step: Step.Ingress, request: id, reason })
+    response.destroy()
+  }
+
   async #deliver (response: ServerResponse, answer: RelayAnswer, id: string): Promise<void> {
     for (const { name, value } of answer.headers) {
       if (!isHopHeader(name)) response.appendHeader(name, value)
