Answer a request whose body has not arrived when its answer is due

What callers saw: no final answer half a second after the timeout of the route. Cause: the wait for the body had no bound; only admission, upstream and delivery had one. Class: a bound that covers some of the waits of a request only.

--- a/__tests__/entry/openGuestScene.ts
+++ b/__tests__/entry/openGuestScene.ts
@@ -8,7 +8,8 @@
 import { openRawServer, type RawServer } from '../support/rawServer.js'
 import { relayOf } from './relayOf.js'
 
-const ADDRESS = '127.79.0.1:7000'
+/** Each test file runs in a process of its own, and so has an address of its own. */
+const ADDRESS = `127.79.${process.pid >> 8 & 255}.${process.pid & 255}:7000`
 const quiet = { info: () => {}, warn: () => {}, error: () => {} }
 
 /** An entry host's listener before upstreams that the test writes byte by byte. */
--- a/src/entry/GuestListener.ts
+++ b/src/entry/GuestListener.ts
@@ -14,6 +14,7 @@
 import { waitForClose } from '../transport/waitForClose.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { Step } from '../types/Step.js'
+import { pause } from '../utils/pause.js'
 import type { EntryRelay } from './EntryRelay.js'
 import type { EntryRequest } from './EntryRequest.js'
 
@@ -88,9 +89,10 @@
     if (route === undefined) return RefusalReason.UnknownPath
     const fields = readFields(message)
     if (fields === undefined) return RefusalReason.BadRequest
-    const body = await readBody(message, plan.limits.bodyBytes)
-    if (body === undefined) return RefusalReason.BodyTooLarge
     const guestDeadline = arrivedAt + (fields.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS)
+    const deadline = Math.min(guestDeadline, arrivedAt + route.timeoutMilliseconds)
+    const body = await readBodyUntil(message, plan.limits.bodyBytes, deadline)
+    if (!Buffer.isBuffer(body)) return body
     return {
       id: fields.id,
       method: message.method ?? '',
@@ -100,7 +102,7 @@
       route,
       objectKey: fields.objectKey,
       guestDeadline,
-      deadline: Math.min(guestDeadline, arrivedAt + route.timeoutMilliseconds),
+      deadline,
       arrivedAt,
       readMilliseconds: performance.now() - arrivedAt,
       cancelled
@@ -132,3 +134,14 @@
     response.writeHead(answer.status, { 'content-type': 'application/json', 'content-length': body.length }).end(body)
   }
 }
+
+/** @returns the whole body, or why it is not had when an answer is due */
+async function readBodyUntil (message: IncomingMessage, limitBytes: number, deadline: number): Promise<Buffer | RefusalReason> {
+  const read = new AbortController()
+  const late = pause(deadline - performance.now(), read.signal).then(() => RefusalReason.BodyLate)
+  try {
+    return await Promise.race([readBody(message, limitBytes), late]) ?? RefusalReason.BodyTooLarge
+  } finally {
+    read.abort()
+  }
+}
--- a/src/types/RefusalReason.ts
+++ b/src/types/RefusalReason.ts
@@ -8,6 +8,8 @@
   BadJson = 'bad-json',
   BadRequest = 'bad-request',
   BodyTooLarge = 'body-too-large',
+  /** The body had not arrived when the answer was due. */
+  BodyLate = 'body-late',
   HeadersTooLarge = 'headers-too-large',
   Unauthorized = 'unauthorized',
   NoSheet = 'no-sheet',
