Remove a lost voter before its replacement votes

What callers saw: no proof that it was seen; the class is in the users' list: after a loss, what was acknowledged is gone, or a read comes never. Cause: a new replica became a voter at once, and the lost one stayed a voter until it was silent for 6 s. With two replaced hosts that is a group of 8 that needs 5; the users call a replaced host whole after 4 s and may take two more disks then. 4 of 8 are left: no leader, for good. Class: repair steps in an order that lowers what the group bears meanwhile. Ruled out: hosts that come back at their own address (the lost identity goes first there). Before: ReplicaKeeper.test.ts 'no leader' 15 s after the losses; after: a leader, and six voters again. A voter that is cut off for 2 s while a new one waits loses its place, empties its folder and joins again.

--- a/__tests__/control/ReplicaKeeper.test.ts
+++ b/__tests__/control/ReplicaKeeper.test.ts
@@ -105,3 +105,25 @@
   await kept.cluster.until(() => kept.voters().length === HOSTS && !kept.voters().includes(identity), 'the one that is gone is removed')
   kept.stop()
 })
+
+/** The shortest time after which the users call a replaced host whole again. */
+const CATCH_UP_MILLISECONDS = 4_000
+/** The users' bound on being back after a loss. */
+const RECOVERY_MILLISECONDS = 15_000
+
+test('two replaced hosts, and two disks lost as soon as the new ones have caught up, leave a majority', async (context) => {
+  const kept = new KeptCluster(context)
+  await kept.start()
+  const { cluster } = kept
+  for (const gone of cluster.followers().slice(0, 2)) kept.kill(gone)
+  for (let added = 0; added < 2; added += 1) kept.keep(await cluster.add(), false)
+  await cluster.advance(CATCH_UP_MILLISECONDS)
+  for (const wiped of cluster.followers().slice(0, 2)) {
+    kept.kill(wiped)
+    kept.keep(await cluster.restartWiped(wiped), false)
+  }
+  await cluster.advance(1_000)
+  await cluster.until(() => cluster.leaders().length === 1, 'no leader', RECOVERY_MILLISECONDS)
+  await cluster.until(() => kept.voters().length === HOSTS, 'not whole again', RECOVERY_MILLISECONDS)
+  kept.stop()
+})
--- a/src/control/ReplicaKeeper.ts
+++ b/src/control/ReplicaKeeper.ts
@@ -13,8 +13,8 @@
 const STEP_MILLISECONDS = 200
 /** Wait for one member to add this replica; the leader asks for its status meanwhile. */
 const JOIN_MILLISECONDS = 1_500
-/** Silence after which a voter is replaced if there is a spare one; a freeze or a restart takes less. */
-const GONE_MILLISECONDS = 6_000
+/** Silence after which a voter is replaced if there is a spare one: two go within the 4 s in which users call a group whole again. */
+const GONE_MILLISECONDS = 2_000
 /** Silence of the leader after which a replica asks whether it was removed meanwhile. */
 const ORPHAN_MILLISECONDS = 3_000
 const STATUS_MILLISECONDS = 500
--- a/src/control/chooseRepair.ts
+++ b/src/control/chooseRepair.ts
@@ -17,8 +17,8 @@
 }
 
 /**
- * Chooses how a leader mends its group. A new replica votes as soon as it has caught up, so that the group bears further
- * losses; what it replaces goes afterwards, and only while the group has more voters than it should.
+ * Chooses how a leader mends its group. A voter that is gone for good goes before its replacement votes: a lost voter
+ * beside its replacement would raise the majority while the group waits, and further losses would leave none.
  *
  * @param configuration - the group
  * @param silent - identities of voters that were silent for long, the longest first
@@ -28,11 +28,10 @@
 export function chooseRepair (configuration: ReplicaConfiguration, silent: readonly string[], wantedVoters: number): Repair | undefined {
   const voters = votersOf(configuration)
   const learner = configuration.members.find(({ role }) => role === MemberRole.Learner)
-  if (learner !== undefined) {
-    const former = voters.find(({ address }) => address === learner.address)
-    if (former !== undefined) return { kind: RepairKind.Replace, identity: learner.identity, lost: former.identity, address: learner.address }
-    return { kind: RepairKind.Promote, identity: learner.identity }
-  }
+  const former = voters.find(({ address }) => address === learner?.address)
+  if (learner !== undefined && former !== undefined) return { kind: RepairKind.Replace, identity: learner.identity, lost: former.identity, address: learner.address }
   const gone = silent[0]
-  return voters.length > wantedVoters && gone !== undefined ? { kind: RepairKind.Remove, identity: gone } : undefined
+  const spare = voters.length + (learner === undefined ? 0 : 1) - wantedVoters
+  if (gone !== undefined && spare > 0) return { kind: RepairKind.Remove, identity: gone }
+  return learner === undefined ? undefined : { kind: RepairKind.Promote, identity: learner.identity }
 }
