Cut off an upstream whose bytes lead to no answer

The reason of a status line and the extension of a chunk without end were read at full speed up to the deadline: 337 MB and 437 MB in 600 ms, which fills a link of 1.4 Mbit/s for the whole of a route's timeout. Cause: the HTTP library bounds header fields only; other framing had no bound but time. Class: input that is consumed without being counted. Change: a connection that brings 256 KB without a head, a part of a body or an end is cut off; interim answers are no progress. The same pools serve both forms.

--- a/src/errors/errorTexts.ts
+++ b/src/errors/errorTexts.ts
@@ -1,6 +1,7 @@
 /** All error texts of the project, each a function of what it names. */
 export const errorTexts = {
   peerUnreachable: (method: string) => `the peer did not answer ${method}`,
+  answerWithoutEnd: (bytes: number) => `${bytes} bytes came without a head, a part of a body or an end`,
   peerRefused: (method: string, message: string) => `the peer refused ${method}: ${message}`,
   unknownCaller: () => 'the caller did not prove that it belongs to this system',
   settingsInvalid: (faults: number) => `the settings have ${faults} fault(s)`,
--- /dev/null
+++ b/src/relay/FramedClient.ts
@@ -0,0 +1,71 @@
+import type { Socket } from 'node:net'
+import { Client, type buildConnector, type Dispatcher } from 'undici'
+import { errorTexts } from '../errors/errorTexts.js'
+
+/** Most bytes that may come without a head, a part of a body or an end: a head has 16 KB at most, the rest is buffers. */
+const MOST_FRAMING_BYTES = 262_144
+
+/**
+ * A connection to an upstream that is cut off when its bytes lead to nothing. The HTTP library bounds header fields,
+ * but not the reason of a status line nor the extension of a chunk, which may go on until the deadline.
+ */
+export class FramedClient extends Client {
+  readonly #progress: { note: () => void }
+
+  /**
+   * @param origin - where to connect
+   * @param options - of the library's client; its connector makes the connections
+   */
+  constructor (origin: URL, options: Client.Options & { connect: buildConnector.connector }) {
+    const progress = { note: () => {} }
+    super(origin, { ...options, connect: watchBytes(options.connect, progress) })
+    this.#progress = progress
+  }
+
+  override dispatch (options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+    return super.dispatch(options, noteProgress(handler, () => { this.#progress.note() }))
+  }
+}
+
+function watchBytes (connect: buildConnector.connector, progress: { note: () => void }): buildConnector.connector {
+  return (options, callback) => {
+    connect(options, (...result: Parameters<buildConnector.Callback>) => {
+      const [, socket] = result
+      if (socket !== null) progress.note = boundFraming(socket)
+      callback(...result)
+    })
+  }
+}
+
+/** @returns a function that notes that the bytes read so far led to something */
+function boundFraming (socket: Socket): () => void {
+  let notedAt = 0
+  socket.on('readable', () => {
+    if (socket.bytesRead - notedAt > MOST_FRAMING_BYTES) socket.destroy(new Error(errorTexts.answerWithoutEnd(MOST_FRAMING_BYTES)))
+  })
+  return () => { notedAt = socket.bytesRead }
+}
+
+/** Calls of a handler that end a stretch of framing, by the names of both of the library's interfaces. */
+const BODY_CALLS = new Set<string | symbol>(['onConnect', 'onRequestStart', 'onData', 'onResponseData'])
+const FIRST_FINAL_STATUS = 200
+
+/** The library hands a client its handlers under either of two interfaces, so calls are watched by their names. */
+function noteProgress (handler: Dispatcher.DispatchHandler, note: () => void): Dispatcher.DispatchHandler {
+  return new Proxy(handler, {
+    get: (target, name) => {
+      const value: unknown = Reflect.get(target, name)
+      if (typeof value !== 'function') return value
+      return (...values: unknown[]): unknown => {
+        if (BODY_CALLS.has(name) || isFinalHead(name, values)) note()
+        return value.apply(target, values)
+      }
+    }
+  })
+}
+
+/** Interim answers may come again and again, so they are no progress. */
+function isFinalHead (name: string | symbol, [first, second]: unknown[]): boolean {
+  if (name === 'onHeaders') return Number(first) >= FIRST_FINAL_STATUS
+  return name === 'onResponseStart' && Number(second) >= FIRST_FINAL_STATUS
+}
--- a/src/relay/openPool.ts
+++ b/src/relay/openPool.ts
@@ -1,5 +1,6 @@
 import { buildConnector, Pool } from 'undici'
 import { failResets } from './failResets.js'
+import { FramedClient } from './FramedClient.js'
 
 /** How connections to one address are made and kept. */
 export interface PoolLimits {
@@ -16,11 +17,12 @@
  * @param limits - how many, and how long things may take
  */
 export function openPool (address: string, { connections, connectMilliseconds, idleMilliseconds }: PoolLimits): Pool {
+  const connect = failResets(buildConnector({ timeout: connectMilliseconds }))
   return new Pool(`http://${address}`, {
     connections,
     pipelining: 1,
     keepAliveTimeout: idleMilliseconds,
     keepAliveMaxTimeout: idleMilliseconds,
-    connect: failResets(buildConnector({ timeout: connectMilliseconds }))
+    factory: (origin, options) => new FramedClient(origin, { ...options, connect })
   })
 }
