Send entry hosts the difference between plans, not the whole plan at each change

What callers saw: links of entry hosts full, and changes late, when changes come in quick succession. Cause: each change went out whole. With 1,400 routes that is 60 KB or so compressed, a third of a second of a link of 1.4 Mbit/s, for the change of one route, to each of 142 hosts. Class: a cost that grows with the state where it should grow with the change. Change: control hosts keep the last eight plans; an entry host that knows one of them gets the routes that changed. A host that knows none of them gets the whole plan. After: under 1,750 bytes on the link for the change of one route among 1,400 (slowLink.test.ts, which asks for a hundredth of the link's second); plans compared route by route in the same test.

--- a/__tests__/follow/slowLink.test.ts
+++ b/__tests__/follow/slowLink.test.ts
@@ -6,6 +6,7 @@
 import { StateFeed } from '../../src/follow/StateFeed.js'
 import { Counters } from '../../src/observe/Counters.js'
 import { PlanEntryKind } from '../../src/plan/PlanEntry.js'
+import type { PlanRoute } from '../../src/plan/RoutingPlan.js'
 import { PlanState } from '../../src/plan/PlanState.js'
 import { EntryHostTable } from '../../src/registry/EntryHostTable.js'
 import { UpstreamTable } from '../../src/registry/UpstreamTable.js'
@@ -26,6 +27,9 @@
 /** The users' shortest bound on putting a change in force at hosts with such links. */
 const APPLY_MILLISECONDS = 2_500
 
+/** What the change of one route may cost a link: a hundredth of its second. */
+const MOST_CHANGE_BYTES = BYTES_PER_SECOND / 100
+
 const nameOf = (number: number): string => (number * 2_654_435_761 % 2 ** 32).toString(36)
 
 async function startPair (context: TestContext) {
@@ -60,7 +64,7 @@
     await entry.close()
     await control.close()
   })
-  return { plans, upstreams, feed, known, follower, countLeft: () => left }
+  return { plans, upstreams, feed, link, known, follower, countLeft: () => left }
 }
 
 async function waitFor (condition: () => boolean, milliseconds: number): Promise<boolean> {
@@ -76,7 +80,7 @@
 }
 
 test('a plan with many routes is in force in time over a slow link, without leaving the control host', async (context) => {
-  const { plans, upstreams, feed, known, follower, countLeft } = await startPair(context)
+  const { plans, upstreams, feed, link, known, follower, countLeft } = await startPair(context)
   addUpstreams(upstreams)
   plans.apply({ kind: PlanEntryKind.Submit, submission: submissionOf(1, 0) }, 1)
   follower.run().catch(() => {})
@@ -88,4 +92,16 @@
   assert.equal(await waitFor(() => known.plan?.version === 2, APPLY_MILLISECONDS), true, `not in force, the control host was left ${countLeft()} times`)
   assert.equal(known.plan?.routes.length, ADDED_ROUTES + 1)
   assert.equal(countLeft(), 0)
+
+  const before = link.back.total
+  const changed = submission.plan.routes.map((route, index) => index === 700 ? { ...route, mostAttempts: 1 } : route)
+  plans.apply({ kind: PlanEntryKind.Submit, submission: { ...submissionOf(3, 2), plan: planOf(3, changed) } }, 3)
+  feed.announce()
+  assert.equal(await waitFor(() => known.plan?.version === 3, APPLY_MILLISECONDS), true)
+  assert.deepEqual([...known.plan!.routes].sort(byName), [...changed].sort(byName))
+  assert.ok(link.back.total - before < MOST_CHANGE_BYTES, `${link.back.total - before} bytes for the change of one route`)
 })
+
+function byName (left: PlanRoute, right: PlanRoute): number {
+  return left.name < right.name ? -1 : 1
+}
--- /dev/null
+++ b/__tests__/plan/PlanDelta.test.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fc from 'fast-check'
+import { PlanHistory } from '../../src/follow/PlanHistory.js'
+import { applyPlanDelta, diffPlans } from '../../src/plan/PlanDelta.js'
+import type { PlanRoute } from '../../src/plan/RoutingPlan.js'
+import { planOf, routeOf } from './planOf.js'
+
+const routes = fc.uniqueArray(fc.record({ place: fc.integer({ min: 0, max: 12 }), mostAttempts: fc.integer({ min: 1, max: 3 }) }), { selector: ({ place }) => place })
+  .map((drawn) => drawn.map(({ place, mostAttempts }) => routeOf({ name: `r${place}`, pathPrefix: `/${place}/`, mostAttempts })))
+
+const byPlace = (left: PlanRoute, right: PlanRoute): number => left.pathPrefix < right.pathPrefix ? -1 : 1
+
+test('a plan and a difference make the later plan, whatever was added, changed and removed', () => {
+  fc.assert(fc.property(routes, routes, (before, after) => {
+    const [base, plan] = [planOf(3, before), planOf(7, after)]
+    const made = applyPlanDelta(base, diffPlans(base, plan))
+    assert.deepEqual({ ...made, routes: [...made.routes].sort(byPlace) }, { ...plan, routes: [...after].sort(byPlace) })
+  }))
+})
+
+test('a difference is known from each of the last plans, and from none that was not kept', () => {
+  const history = new PlanHistory()
+  const many = Array.from({ length: 20 }, (_, number) => routeOf({ name: `r${number}`, pathPrefix: `/${number}/` }))
+  for (let version = 1; version <= 12; version += 1) history.note(planOf(version, many.map((route, number) => number === version ? { ...route, mostAttempts: 9 } : route)))
+  assert.equal(history.deltaFrom(2), undefined)
+  assert.deepEqual(history.deltaFrom(11)?.routes.map(({ name }) => name), ['r11', 'r12'])
+  assert.equal(history.deltaFrom(12), undefined)
+})
+
+test('a plan that shares no route with the former one goes out whole', () => {
+  const history = new PlanHistory()
+  history.note(planOf(1, [routeOf({ pathPrefix: '/old/' })]))
+  history.note(planOf(2, [routeOf({ pathPrefix: '/new/' })]))
+  assert.equal(history.deltaFrom(1), undefined)
+})
--- a/__tests__/scenarios/ByteMeter.ts
+++ b/__tests__/scenarios/ByteMeter.ts
@@ -11,6 +11,11 @@
     this.#bins.set(bin, (this.#bins.get(bin) ?? 0) + bytes)
   }
 
+  /** All bytes so far. */
+  get total (): number {
+    return [...this.#bins.values()].reduce((sum, bytes) => sum + bytes, 0)
+  }
+
   /**
    * @param meters - meters of one link
    * @returns most bytes that passed all of them together within a second
--- a/src/follow/FollowMessages.ts
+++ b/src/follow/FollowMessages.ts
@@ -1,3 +1,4 @@
+import type { PlanDelta } from '../plan/PlanDelta.js'
 import type { RoutingPlan } from '../plan/RoutingPlan.js'
 import type { ControlHost } from '../registry/ControlHost.js'
 import type { EntryHost, RegionDemand } from '../registry/EntryHost.js'
@@ -37,8 +38,10 @@
 /** What changed since the position asked for. */
 export interface FollowReply {
   position: FeedPosition
-  /** The newest plan, if the caller's is older. */
+  /** The newest plan, if the caller's is older and it gets no difference. */
   plan?: RoutingPlan
+  /** What leads from the caller's plan to the newest one. */
+  planDelta?: PlanDelta
   /** Evacuated failure domains, if they changed. */
   evacuated?: string[]
   upstreams: FollowedUpstream[]
--- a/src/follow/KnownState.ts
+++ b/src/follow/KnownState.ts
@@ -1,3 +1,4 @@
+import { applyPlanDelta, type PlanDelta } from '../plan/PlanDelta.js'
 import { RouteTable } from '../plan/RouteTable.js'
 import type { PlanService, RoutingPlan } from '../plan/RoutingPlan.js'
 import { UpstreamTable } from '../registry/UpstreamTable.js'
@@ -97,7 +98,7 @@
     this.#smoothedDemand.update(reply.demand, performance.now())
     this.#mergeEvacuations(reply)
     this.#mergeUpstreams(reply)
-    return this.#mergePlan(reply.plan)
+    return this.#mergePlan(reply.plan ?? this.#completePlan(reply.planDelta))
   }
 
   /** @returns upstreams of a service that take new work */
@@ -141,6 +142,10 @@
     this.#evacuationRevision = position.evacuationRevision
   }
 
+  #completePlan (delta: PlanDelta | undefined): RoutingPlan | undefined {
+    return delta === undefined || delta.base !== this.#plan?.version ? undefined : applyPlanDelta(this.#plan, delta)
+  }
+
   #mergePlan (plan: RoutingPlan | undefined): boolean {
     if (plan === undefined || plan.version <= (this.#plan?.version ?? 0)) return false
     this.#plan = plan
--- a/src/follow/StateFeed.ts
+++ b/src/follow/StateFeed.ts
@@ -1,4 +1,5 @@
 import type { PlanSource } from '../plan/PlanSource.js'
+import type { RoutingPlan } from '../plan/RoutingPlan.js'
 import type { ControlHost } from '../registry/ControlHost.js'
 import type { EntryHostTable } from '../registry/EntryHostTable.js'
 import type { UpstreamEntry } from '../registry/UpstreamEntry.js'
@@ -10,6 +11,7 @@
 import { Step } from '../types/Step.js'
 import type { FeedPosition, FollowedUpstream, FollowReply, FollowRequest } from './FollowMessages.js'
 import type { LossBoard } from './LossBoard.js'
+import { PlanHistory } from './PlanHistory.js'
 
 /** Changes within this time go out together: upstreams of a service often change in groups. */
 const GATHER_MILLISECONDS = 20
@@ -34,6 +36,7 @@
   readonly #options: StateFeedOptions
   readonly #waiting = new Set<() => void>()
   readonly #reporters = new Map<string, number>()
+  readonly #history = new PlanHistory()
   #gathering: NodeJS.Timeout | undefined
   #isOpen = false
 
@@ -50,6 +53,7 @@
 
   /** Wakes the entry hosts that wait for a change. */
   announce (): void {
+    this.#history.note(this.#options.plans.plan)
     this.#gathering ??= setTimeout(() => {
       this.#gathering = undefined
       for (const wake of [...this.#waiting]) wake()
@@ -98,7 +102,7 @@
     const { plan, evacuationRevision } = plans
     return {
       position: { feed, revision: upstreams.revision, lossRevision: losses.revision, planVersion: plan?.version ?? 0, evacuationRevision },
-      plan: plan !== undefined && plan.version > position.planVersion ? plan : undefined,
+      ...this.#describePlan(plan, position.planVersion),
       evacuated: evacuationRevision > position.evacuationRevision ? plans.evacuated : undefined,
       upstreams: upstreams.changedSince(isComplete ? 0 : position.revision).map(describeUpstream),
       isComplete,
@@ -109,6 +113,13 @@
       losses: losses.changedSince(isComplete ? 0 : position.lossRevision)
     }
   }
+
+  #describePlan (plan: RoutingPlan | undefined, known: number): Pick<FollowReply, 'plan' | 'planDelta'> {
+    if (plan === undefined || plan.version <= known) return {}
+    this.#history.note(plan)
+    const planDelta = this.#history.deltaFrom(known)
+    return planDelta === undefined ? { plan } : { planDelta }
+  }
 }
 
 function describeUpstream ({ record, coldUntil, isLost }: UpstreamEntry): FollowedUpstream {
--- a/src/plan/checkPlan.ts
+++ b/src/plan/checkPlan.ts
@@ -1,3 +1,4 @@
+import { placeOf } from './PlanDelta.js'
 import { PlanProblem, type PlanFault } from './PlanFault.js'
 import type { PlanRoute, RoutingPlan } from './RoutingPlan.js'
 
@@ -11,7 +12,7 @@
   const services = new Set(plan.services.map(({ name }) => name))
   return [
     ...listDuplicates(plan.services.map(({ name }) => name)).map((name) => ({ problem: PlanProblem.DuplicateService, name, value: name })),
-    ...listDuplicates(plan.routes.map(describePlace)).map((place) => ({ problem: PlanProblem.DuplicateRoute, name: place, value: place })),
+    ...listDuplicates(plan.routes.map(placeOf)).map((place) => ({ problem: PlanProblem.DuplicateRoute, name: place, value: place })),
     ...plan.routes.flatMap((route) => checkRoute(route, services))
   ]
 }
@@ -31,10 +32,6 @@
   return faults
 }
 
-function describePlace ({ host, pathPrefix }: PlanRoute): string {
-  return `${host}${pathPrefix}`
-}
-
 function listDuplicates (values: string[]): string[] {
   const seen = new Set<string>()
   const twice = new Set<string>()
