Give no place in the admission queue to a guest that has left

Cause: the queue listens for a close that comes while a request waits, not for one that came before. Such a request took room or waited its whole time, and kept others out; it was not sent in the end. Class: as in 'Look for a guest's close once more': a state that is read only as an event. Looked for elsewhere: UpstreamPool, RunGate, joinSignals, pause and AnswerCollector look at the state first. Before: AdmissionQueue.test.ts 'admitted'; after: cancelled, no room taken.

--- a/__tests__/placement/AdmissionQueue.test.ts
+++ b/__tests__/placement/AdmissionQueue.test.ts
@@ -61,6 +61,15 @@
   assert.equal(await waiting, Admission.Cancelled)
 })
 
+test('a guest that has left before its turn takes no room, and none is kept for it', async () => {
+  const queue = await queueOf(1, 100)
+  assert.equal(await queue.enter({ priority: 1, mostWaitMilliseconds: 10_000 }, AbortSignal.abort()), Admission.Cancelled)
+  assert.equal(queue.underWay, 0)
+  await queue.enter({ priority: 1, mostWaitMilliseconds: 0 }, never)
+  assert.equal(await queue.enter({ priority: 1, mostWaitMilliseconds: 200 }, AbortSignal.abort()), Admission.Cancelled)
+  assert.equal(queue.length, 0)
+})
+
 test('the shares of all hosts add up to little more than the slots, however uneven the demand', () => {
   const slots = 180
   const demands = [60, 50, 40, 30, 20, 20, 20, 20, 10, 10, 10, 10, 5, 5, 1, 0]
--- a/src/placement/AdmissionQueue.ts
+++ b/src/placement/AdmissionQueue.ts
@@ -64,6 +64,7 @@
    * @param cancelled - ends the wait
    */
   async enter (ticket: AdmissionTicket, cancelled: AbortSignal): Promise<Admission> {
+    if (cancelled.aborted) return Admission.Cancelled
     if (this.#waiting.length === 0 && this.#underWay < this.#limit()) {
       this.#underWay += 1
       return Admission.Admitted
