Find the upstreams of an address without looking at all of them

What callers saw: nothing by itself; a host that takes in all upstreams stands still meanwhile. Class: a cost that grows with the square of the state, on the loop that reads guests. Change: entries are kept by address, too.

--- a/__tests__/registry/UpstreamTable.test.ts
+++ b/__tests__/registry/UpstreamTable.test.ts
@@ -81,3 +81,28 @@
   assert.equal(table.hear('i-1', 1_000, 2, 0), true)
   assert.equal(table.hear('i-1', 2_000, 1, 0), false)
 })
+
+test('an address that an upstream has left does not bind the next one there', (context) => {
+  const table = tableOf(context)
+  table.merge(recordOf({ id: 'i-1', bornAt: 5_000 }))
+  table.merge(recordOf({ id: 'i-1', bornAt: 6_000, address: '127.0.0.8:8080' }))
+  assert.equal(table.merge(recordOf({ id: 'i-2', bornAt: 2_000 })), true)
+  assert.equal(table.get('i-1')?.record.readiness, UpstreamReadiness.Ready)
+  assert.equal(table.merge(recordOf({ id: 'i-3', bornAt: 1_000 })), false)
+})
+
+/** One check of one entry for each record that is taken in; a table that looked at all would do thousands. */
+test('taking in a record looks at the upstreams of its address only', (context) => {
+  const table = tableOf(context)
+  let looks = 0
+  const watched = (number: number): ReturnType<typeof recordOf> => new Proxy(recordOf({ id: `i-${number}`, address: `10.0.0.${number}:80` }), {
+    get: (target, name, receiver) => {
+      if (name === 'address') looks += 1
+      return Reflect.get(target, name, receiver) as unknown
+    }
+  })
+  for (let number = 0; number < 100; number += 1) table.merge(watched(number))
+  looks = 0
+  table.merge(watched(100))
+  assert.ok(looks < 10, `${looks} looks at addresses`)
+})
--- a/src/registry/UpstreamTable.ts
+++ b/src/registry/UpstreamTable.ts
@@ -21,6 +21,8 @@
  */
 export class UpstreamTable {
   readonly #entries = new Map<string, UpstreamEntry>()
+  /** Entries by address: an address serves one upstream after another, and a table has some thousand addresses. */
+  readonly #byAddress = new Map<string, Set<UpstreamEntry>>()
   readonly #timings: UpstreamTableTimings
   #revision = 0
 
@@ -64,7 +66,7 @@
     const coldUntil = now - ageMilliseconds + record.coldMilliseconds
     const changed = known === undefined || differs(known, record, coldUntil, now)
     const revision = changed ? ++this.#revision : known.revision
-    this.#entries.set(record.id, { record, heardAt: now - ageMilliseconds, coldUntil, isLost: false, revision })
+    this.#put({ record, heardAt: now - ageMilliseconds, coldUntil, isLost: false, revision })
     if (changed) this.#dropPredecessors(record)
     return changed
   }
@@ -121,7 +123,7 @@
     const lost: string[] = []
     for (const [id, entry] of this.#entries) {
       const silence = now - entry.heardAt
-      if (silence > FORGET_MILLISECONDS) this.#entries.delete(id)
+      if (silence > FORGET_MILLISECONDS) this.#drop(entry)
       if (entry.isLost || isGone(entry.record) || silence <= this.#timings.lostMilliseconds) continue
       entry.isLost = true
       entry.revision = ++this.#revision
@@ -130,16 +132,42 @@
     return lost
   }
 
+  #put (entry: UpstreamEntry): void {
+    const { id, address } = entry.record
+    const former = this.#entries.get(id)
+    if (former !== undefined) this.#leaveAddress(former)
+    this.#entries.set(id, entry)
+    const group = this.#byAddress.get(address)
+    if (group === undefined) this.#byAddress.set(address, new Set([entry]))
+    else group.add(entry)
+  }
+
+  #drop (entry: UpstreamEntry): void {
+    this.#entries.delete(entry.record.id)
+    this.#leaveAddress(entry)
+  }
+
+  #leaveAddress (entry: UpstreamEntry): void {
+    const { address } = entry.record
+    const group = this.#byAddress.get(address)
+    group?.delete(entry)
+    if (group?.size === 0) this.#byAddress.delete(address)
+  }
+
+  /** @returns entries of other upstreams at the address of a record */
+  #neighbours ({ id, address }: UpstreamRecord): UpstreamEntry[] {
+    return [...this.#byAddress.get(address) ?? []].filter(({ record }) => record.id !== id)
+  }
+
   /** An address belongs to the upstream that started last. */
   #isSuperseded (record: UpstreamRecord): boolean {
-    return this.list().some(({ record: other }) => other.id !== record.id && other.address === record.address && other.bornAt > record.bornAt)
+    return this.#neighbours(record).some(({ record: other }) => other.bornAt > record.bornAt)
   }
 
   #dropPredecessors (record: UpstreamRecord): void {
-    for (const entry of this.#entries.values()) {
-      const { record: other } = entry
-      if (other.id === record.id || other.address !== record.address || isGone(other)) continue
-      entry.record = { ...other, readiness: UpstreamReadiness.Gone }
+    for (const entry of this.#neighbours(record)) {
+      if (isGone(entry.record)) continue
+      entry.record = { ...entry.record, readiness: UpstreamReadiness.Gone }
       entry.revision = ++this.#revision
     }
   }
