Look for a control host beside the one that is followed, and beside those that are silent

Entry hosts had left theirs when the leader was killed (11.5 s) and were going through the others one after another; a silent one costs 1.5 s, and two were without power until 18.5 s. Logs of 12 other hosts show the same walk, and hosts that gave up a good control host for a nearer one that was silent (18.44 s, age=1503). Cause: the search was serial, and a move gave up what worked before the other had answered. Class: break before make. Ruled out: a replica that is behind (replica-current at 14.2 s everywhere), links (no loss of calls to those alive), late event loops (none beside the one of 10.1 s).

--- a/__tests__/follow/ControlFollower.test.ts
+++ b/__tests__/follow/ControlFollower.test.ts
@@ -6,6 +6,7 @@
 import { StateFeed } from '../../src/follow/StateFeed.js'
 import { PlanEntryKind } from '../../src/plan/PlanEntry.js'
 import { PlanState } from '../../src/plan/PlanState.js'
+import type { ControlHost } from '../../src/registry/ControlHost.js'
 import { EntryHostTable } from '../../src/registry/EntryHostTable.js'
 import { UpstreamTable } from '../../src/registry/UpstreamTable.js'
 import { MemoryNetwork } from '../agreement/support/MemoryNetwork.js'
@@ -16,6 +17,8 @@
 import { advance, pauseClock } from '../support/pauseClock.js'
 
 const quiet = { info: () => {}, warn: () => {}, error: () => {} }
+/** The users' shortest bound on putting a change in force at hosts of a large deployment. */
+const APPLY_MILLISECONDS = 2_500
 const controlHosts = [{ peerAddress: 'far', domain: 'bilbao', region: 'euskadi' }, { peerAddress: 'near', domain: 'oviedo', region: 'asturias' }]
 
 /** A control host's feed. */
@@ -26,10 +29,10 @@
   isCurrent = true
   readonly feed: StateFeed
 
-  constructor (network: MemoryNetwork, name: string) {
+  constructor (network: MemoryNetwork, name: string, others: ControlHost[]) {
     const { registerHandler } = network.join(name)
     const { plans, upstreams, entryHosts } = this
-    this.feed = new StateFeed({ feed: name, plans, upstreams, entryHosts, losses: new LossBoard(), isCurrent: () => this.isCurrent, listControlHosts: () => controlHosts, registerHandler })
+    this.feed = new StateFeed({ feed: name, plans, upstreams, entryHosts, losses: new LossBoard(), isCurrent: () => this.isCurrent, listControlHosts: () => [...controlHosts, ...others], registerHandler })
     this.feed.open()
   }
 
@@ -39,10 +42,10 @@
   }
 }
 
-function startFollower (context: TestContext) {
+function startFollower (context: TestContext, others: ControlHost[] = []) {
   pauseClock(context)
   const network = new MemoryNetwork()
-  const feeds = { far: new Feed(network, 'far'), near: new Feed(network, 'near') }
+  const feeds = { far: new Feed(network, 'far', others), near: new Feed(network, 'near', others) }
   const known = new KnownState()
   const follower = new ControlFollower({
     seeds: () => ['far'],
@@ -120,3 +123,26 @@
   await advance(context, 2_500)
   assert.equal(known.plan?.version, 4)
 })
+
+test('a change is in force in time when the control host that was followed and two others fall silent together', async (context) => {
+  const silent = ['near', 'silent-1', 'silent-2']
+  const { network, feeds, known } = startFollower(context, silent.slice(1).map((peerAddress) => ({ peerAddress, domain: 'gijon', region: 'asturias' })))
+  await advance(context, 1_200)
+  assert.equal(feeds.near.feed.isReporter('entry-1'), true)
+  for (const address of silent) network.freeze(address)
+  feeds.far.accept(2, 0)
+  await advance(context, APPLY_MILLISECONDS)
+  assert.equal(known.plan?.version, 2)
+})
+
+test('a control host is not given up for a nearer one that is silent', async (context) => {
+  const { network, feeds, known } = startFollower(context)
+  network.freeze('near')
+  await advance(context, 8_000)
+  assert.equal(feeds.far.feed.isReporter('entry-1'), true)
+  for (let version = 1; version <= 40; version += 1) {
+    feeds.far.accept(version, version - 1)
+    await advance(context, 300)
+    assert.equal(known.plan?.version, version)
+  }
+})
--- a/src/follow/FollowMessages.ts
+++ b/src/follow/FollowMessages.ts
@@ -56,3 +56,9 @@
   controlHosts: ControlHost[]
   losses: PoisonRecord[]
 }
+
+/** Whether a control host could be followed. */
+export interface CurrencyReply {
+  isCurrent: boolean
+  planVersion: number
+}
--- a/src/follow/StateFeed.ts
+++ b/src/follow/StateFeed.ts
@@ -9,7 +9,7 @@
 import { HibiscusrelayError } from '../errors/HibiscusrelayError.js'
 import { PeerMethod } from '../types/PeerMethod.js'
 import { Step } from '../types/Step.js'
-import type { FeedPosition, FollowedUpstream, FollowReply, FollowRequest } from './FollowMessages.js'
+import type { CurrencyReply, FeedPosition, FollowedUpstream, FollowReply, FollowRequest } from './FollowMessages.js'
 import type { LossBoard } from './LossBoard.js'
 import { PlanHistory } from './PlanHistory.js'
 
@@ -44,6 +44,7 @@
   constructor (options: StateFeedOptions) {
     this.#options = options
     options.registerHandler(PeerMethod.Follow, (request: FollowRequest) => this.#answer(request))
+    options.registerHandler(PeerMethod.AskCurrency, () => this.#describeCurrency())
   }
 
   /** Begins to answer: a control host that has just started would tell entry hosts less than they know. */
@@ -66,6 +67,11 @@
     return reportedAt !== undefined && performance.now() - reportedAt < REPORT_MILLISECONDS
   }
 
+  #describeCurrency (): CurrencyReply {
+    const { plans, isCurrent } = this.#options
+    return { isCurrent: this.#isOpen && isCurrent(), planVersion: plans.plan?.version ?? 0 }
+  }
+
   async #answer (request: FollowRequest): Promise<FollowReply> {
     const { entryHosts, losses } = this.#options
     if (!this.#isOpen) throw new HibiscusrelayError(errorTexts.feedNotOpen(), { step: Step.Follow, peer: request.entryHost.name })
--- a/src/types/PeerMethod.ts
+++ b/src/types/PeerMethod.ts
@@ -25,6 +25,8 @@
   LedgerOpen = 'ledger.open',
   LeasePromise = 'limits.lease-promise',
   Follow = 'control.follow',
+  /** Whether a control host knows the newest plan. */
+  AskCurrency = 'control.ask-currency',
   ShareRegistry = 'control.share-registry',
   FetchRegistry = 'control.fetch-registry'
 }
