Ask several members at once to be let into the group

Same class as the search for a control host, found by looking for it elsewhere: a wiped or new host asked one member after another, and a silent address cost 1.5 s, also one that was replaced long ago. Change: the next member is asked 300 ms after the one before; joining twice is the same as once. Before: ReplicaKeeper.test.ts, not back 2 s after its start while two replaced hosts' addresses are silent; after: back.

--- a/__tests__/control/ReplicaKeeper.test.ts
+++ b/__tests__/control/ReplicaKeeper.test.ts
@@ -108,6 +108,8 @@
 
 /** The shortest time after which the users call a replaced host whole again. */
 const CATCH_UP_MILLISECONDS = 4_000
+/** What is left of that time to hosts that must catch up after they joined: half of it. */
+const JOIN_MILLISECONDS = CATCH_UP_MILLISECONDS / 2
 /** The users' bound on being back after a loss. */
 const RECOVERY_MILLISECONDS = 15_000
 
@@ -127,3 +129,21 @@
   await cluster.until(() => kept.voters().length === HOSTS, 'not whole again', RECOVERY_MILLISECONDS)
   kept.stop()
 })
+
+test('a wiped host has its place back in time, also while the first hosts that it asks are silent', async (context) => {
+  const kept = new KeptCluster(context)
+  await kept.start()
+  const { cluster } = kept
+  const silent = cluster.hosts.slice(0, 2)
+  const lost = silent.map(({ replicatedLog }) => replicatedLog.status().identity)
+  for (const gone of silent) kept.kill(gone)
+  for (const { address } of silent) cluster.network.freeze(address)
+  for (let added = 0; added < silent.length; added += 1) kept.keep(await cluster.add(), false)
+  await cluster.until(() => kept.voters().length === HOSTS && !kept.voters().some((identity) => lost.includes(identity)), 'the silent hosts are replaced')
+  const wiped = cluster.followers().at(-1)!
+  const { identity } = wiped.replicatedLog.status()
+  kept.kill(wiped)
+  kept.keep(await cluster.restartWiped(wiped), false)
+  await cluster.until(() => kept.voters().length === HOSTS && !kept.voters().includes(identity), 'not back in time', JOIN_MILLISECONDS)
+  kept.stop()
+})
--- a/src/control/ReplicaKeeper.ts
+++ b/src/control/ReplicaKeeper.ts
@@ -7,12 +7,15 @@
 import type { CallPeer } from '../transport/CallPeer.js'
 import { PeerMethod } from '../types/PeerMethod.js'
 import { Step } from '../types/Step.js'
+import { askInTurn } from '../utils/askInTurn.js'
 import { pause } from '../utils/pause.js'
 import { chooseRepair, RepairKind, type Repair } from './chooseRepair.js'
 
 const STEP_MILLISECONDS = 200
 /** Wait for one member to add this replica; the leader asks for its status meanwhile. */
 const JOIN_MILLISECONDS = 1_500
+/** Time that one member gets before the next one is asked beside it: two round trips between regions, and a sync on each side. */
+const JOIN_STEP_MILLISECONDS = 300
 /** Silence after which a voter is replaced if there is a spare one: two go within the 4 s in which users call a group whole again. */
 const GONE_MILLISECONDS = 2_000
 /** Silence of the leader after which a replica asks whether it was removed meanwhile. */
@@ -89,9 +92,7 @@
 
   async #enter (): Promise<void> {
     if (this.#mayBootstrap() && await this.#bootstrap()) return
-    for (const address of this.#options.listPeers()) {
-      if (await this.#askToJoin(address)) return
-    }
+    await askInTurn(this.#options.listPeers(), (address) => this.#askToJoin(address), JOIN_STEP_MILLISECONDS)
   }
 
   #mayBootstrap (): boolean {
--- a/src/follow/ControlFollower.ts
+++ b/src/follow/ControlFollower.ts
@@ -4,9 +4,9 @@
 import type { CallPeer } from '../transport/CallPeer.js'
 import { PeerMethod } from '../types/PeerMethod.js'
 import { Step } from '../types/Step.js'
+import { askInTurn } from '../utils/askInTurn.js'
 import { pause } from '../utils/pause.js'
 import { ControlHostRanking } from './ControlHostRanking.js'
-import { findControlHost } from './findControlHost.js'
 import type { CurrencyReply, FeedPosition, FollowReply, FollowRequest } from './FollowMessages.js'
 import type { KnownState } from './KnownState.js'
 
@@ -18,6 +18,8 @@
 const FIRST_ANSWER_MILLISECONDS = 1_500
 /** Wait for a control host that is asked whether it is current: a round trip between regions takes 110 ms. */
 const ASK_MILLISECONDS = 600
+/** Time that one control host gets before the next one is asked beside it: a round trip between regions, and some more. */
+const ASK_STEP_MILLISECONDS = 150
 /** Pause after a search that found none, so that hosts that start together don't spin. */
 const RETRY_MILLISECONDS = 100
 /** How long a control host that is not current is followed before another is looked for. */
@@ -128,19 +130,19 @@
     return planVersion >= (this.#options.known.plan?.version ?? 0)
   }
 
-  /** @returns a current control host, or one that answers at least and has other news */
+  /** @returns a control host that is current, or else one that answers: it may have other news */
   async #find (): Promise<string | undefined> {
-    const { current, answering } = await findControlHost(this.#ranking.rank(), (address) => this.#ask(address))
+    const { agreeing, answering } = await askInTurn(this.#ranking.rank(), (address) => this.#ask(address), ASK_STEP_MILLISECONDS)
     this.#currentSince = performance.now()
-    return current ?? answering
+    return agreeing ?? answering
   }
 
   /** Looks for a better control host beside following the present one, which is kept unless one is found. */
   #lookFor (addresses: string[]): void {
     if (this.#isSearching || addresses.length === 0) return
     this.#isSearching = true
-    findControlHost(addresses, (address) => this.#ask(address))
-      .then(({ current }) => { if (current !== undefined) this.#moveTo(current) })
+    askInTurn(addresses, (address) => this.#ask(address), ASK_STEP_MILLISECONDS)
+      .then(({ agreeing }) => { if (agreeing !== undefined) this.#moveTo(agreeing) })
       .finally(() => { this.#isSearching = false })
   }
 
