--- a/__tests__/guest/GuestInterface.test.ts
+++ b/__tests__/guest/GuestInterface.test.ts
@@ -121,3 +121,17 @@
   while (counters.read('refused.cancelled') === 0) await sleep(5)
   assert.equal(served.length, before)
 })
+
+test('a request whose body does not arrive is refused when its answer is due, and its connection ends', async () => {
+  const before = served.length
+  const [host, port] = ADDRESS.split(':')
+  const guest = connect({ host, port: Number(port) })
+  let text = ''
+  guest.on('data', (chunk) => { text += chunk.toString() })
+  await once(guest, 'connect')
+  guest.write('POST /v1/services/desk/ HTTP/1.1\r\nhost: desk\r\nhibiscusrelay-deadline: 100\r\ncontent-length: 10\r\n\r\nsome')
+  await Promise.race([once(guest, 'close'), sleep(1_000, undefined, { ref: false })])
+  assert.match(text, /^HTTP\/1.1 408 /)
+  assert.equal(guest.closed, true)
+  assert.equal(served.length, before)
+})
--- a/src/entry/GuestListener.ts
+++ b/src/entry/GuestListener.ts
@@ -10,11 +10,10 @@
 import { refusalStatus } from '../relay/refusalStatus.js'
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
 import { listEndToEndHeaders } from '../guest/listEndToEndHeaders.js'
-import { readBody } from '../transport/readBody.js'
+import { readBodyUntil } from '../transport/readBodyUntil.js'
 import { waitForClose } from '../transport/waitForClose.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { Step } from '../types/Step.js'
-import { pause } from '../utils/pause.js'
 import type { EntryRelay } from './EntryRelay.js'
 import type { EntryRequest } from './EntryRequest.js'
 
@@ -134,14 +133,3 @@
     response.writeHead(answer.status, { 'content-type': 'application/json', 'content-length': body.length }).end(body)
   }
 }
-
-/** @returns the whole body, or why it is not had when an answer is due */
-async function readBodyUntil (message: IncomingMessage, limitBytes: number, deadline: number): Promise<Buffer | RefusalReason> {
-  const read = new AbortController()
-  const late = pause(deadline - performance.now(), read.signal).then(() => RefusalReason.BodyLate)
-  try {
-    return await Promise.race([readBody(message, limitBytes), late]) ?? RefusalReason.BodyTooLarge
-  } finally {
-    read.abort()
-  }
-}
--- a/src/guest/GuestInterface.ts
+++ b/src/guest/GuestInterface.ts
@@ -40,6 +40,9 @@
   log: Log
 }
 
+/** Refusals of requests whose body has not come to its end. */
+const UNREAD_REASONS = new Set([RefusalReason.BodyTooLarge, RefusalReason.BodyLate])
+
 /** Answers guests and upstreams. */
 export class GuestInterface {
   readonly #options: GuestInterfaceOptions
@@ -143,7 +146,7 @@
   #refuse (message: IncomingMessage, response: ServerResponse, reason: RefusalReason): void {
     this.#options.counters.increment(refusalCounter(reason))
     const answer = message.headers['idempotency-key'] === undefined ? refuse(reason) : answerUnknown(reason)
-    if (reason === RefusalReason.BodyTooLarge) response.setHeader('connection', 'close')
+    if (UNREAD_REASONS.has(reason)) response.setHeader('connection', 'close')
     this.#describeRefusal(response, reason)
     response.writeHead(answer.status, { 'content-type': 'application/json', 'hibiscusrelay-outcome': answer.outcome }).end(answer.body)
   }
--- a/src/guest/readGuestRequest.ts
+++ b/src/guest/readGuestRequest.ts
@@ -3,7 +3,7 @@
 import { fingerprintRequest } from '../relay/fingerprintRequest.js'
 import type { RelayedRequest } from '../relay/RelayedRequest.js'
 import type { LimitSettings, TimingSettings } from '../settings/Settings.js'
-import { readBody } from '../transport/readBody.js'
+import { readBodyUntil } from '../transport/readBodyUntil.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { RequestClass } from '../types/RequestClass.js'
 import type { Sheet } from '../types/Sheet.js'
@@ -47,8 +47,9 @@
   if (deadlineMilliseconds === undefined) return RefusalReason.BadDeadline
   const key = message.headers['idempotency-key']
   if (Array.isArray(key) || (key?.length ?? 0) > LONGEST_KEY) return RefusalReason.BadRequest
-  const body = await readBody(message, context.limits.requestBodyBytes)
-  if (body === undefined) return RefusalReason.BodyTooLarge
+  const deadline = started + deadlineMilliseconds - Math.min(LONGEST_ANSWER_WAY_MILLISECONDS, deadlineMilliseconds * ANSWER_WAY_SHARE)
+  const body = await readBodyUntil(message, context.limits.requestBodyBytes, deadline)
+  if (!Buffer.isBuffer(body)) return body
   const requestClass = IDEMPOTENT_METHODS.has(method) ? RequestClass.Idempotent : entry.requestClass
   return {
     id: randomUUID(),
@@ -59,7 +60,7 @@
     body,
     requestClass,
     key,
-    deadline: started + deadlineMilliseconds - Math.min(LONGEST_ANSWER_WAY_MILLISECONDS, deadlineMilliseconds * ANSWER_WAY_SHARE),
+    deadline,
     fingerprint: fingerprintRequest({ service: target.service, method, path: target.path, body }),
     mayWait: true,
     mayStart: () => true,
