Watch the bytes of a connection only once it is made

What callers would have seen: a host that ends at the first upstream that refuses a connection. Change: bytes are watched when the connection was made without an error. FramedClient.test.ts fails before with the same TypeError.

--- a/src/relay/FramedClient.ts
+++ b/src/relay/FramedClient.ts
@@ -30,8 +30,9 @@
 function watchBytes (connect: buildConnector.connector, progress: { note: () => void }): buildConnector.connector {
   return (options, callback) => {
     connect(options, (...result: Parameters<buildConnector.Callback>) => {
-      const [, socket] = result
-      if (socket !== null) progress.note = boundFraming(socket)
+      const [error, socket] = result
+      // A connection that failed comes with an error and without a socket.
+      if (error === null && socket !== null) progress.note = boundFraming(socket)
       callback(...result)
     })
   }
