Make the follower of the tests in one place

Two tests wrote the same options of a follower; followerOf.ts has them once. Tests keep their assertions; no source changed.

--- a/__tests__/follow/ControlFollower.test.ts
+++ b/__tests__/follow/ControlFollower.test.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict'
 import { test, type TestContext } from 'node:test'
-import { ControlFollower } from '../../src/follow/ControlFollower.js'
 import { KnownState } from '../../src/follow/KnownState.js'
 import { LossBoard } from '../../src/follow/LossBoard.js'
 import { StateFeed } from '../../src/follow/StateFeed.js'
@@ -12,11 +11,11 @@
 import { MemoryNetwork } from '../agreement/support/MemoryNetwork.js'
 import { UpstreamReadiness } from '../../src/registry/UpstreamRecord.js'
 import { planOf, submissionOf } from '../plan/planOf.js'
+import { followerOf } from './followerOf.js'
 import { replyOf } from './replyOf.js'
 import { recordOf } from '../registry/recordOf.js'
 import { advance, pauseClock } from '../support/pauseClock.js'
 
-const quiet = { info: () => {}, warn: () => {}, error: () => {} }
 /** The users' shortest bound on putting a change in force at hosts of a large deployment. */
 const APPLY_MILLISECONDS = 2_500
 const controlHosts = [{ peerAddress: 'far', domain: 'bilbao', region: 'euskadi' }, { peerAddress: 'near', domain: 'oviedo', region: 'asturias' }]
@@ -47,18 +46,7 @@
   const network = new MemoryNetwork()
   const feeds = { far: new Feed(network, 'far', others), near: new Feed(network, 'near', others) }
   const known = new KnownState()
-  const follower = new ControlFollower({
-    seeds: () => ['far'],
-    describeHost: () => ({ name: 'entry-1', domain: 'oviedo', region: 'asturias', guestAddress: '127.0.0.1:1', isReady: true, demand: {} }),
-    known,
-    takeLosses: () => [],
-    putLossesBack: () => {},
-    onLosses: () => {},
-    onPlan: () => {},
-    callPeer: network.join('entry').callPeer,
-    random: () => 0,
-    log: quiet
-  })
+  const follower = followerOf({ seeds: () => ['far'], known, callPeer: network.join('entry').callPeer })
   follower.run().catch(() => {})
   context.after(() => { follower.stop() })
   return { network, feeds, known, follower }
--- a/__tests__/follow/slowLink.test.ts
+++ b/__tests__/follow/slowLink.test.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict'
 import { test, type TestContext } from 'node:test'
-import { ControlFollower } from '../../src/follow/ControlFollower.js'
 import { KnownState } from '../../src/follow/KnownState.js'
 import { LossBoard } from '../../src/follow/LossBoard.js'
 import { StateFeed } from '../../src/follow/StateFeed.js'
@@ -13,6 +12,7 @@
 import { HostTransport } from '../../src/transport/HostTransport.js'
 import { planOf, routeOf, submissionOf } from '../plan/planOf.js'
 import { recordOf } from '../registry/recordOf.js'
+import { followerOf } from './followerOf.js'
 import { Forwarder } from '../scenarios/Forwarder.js'
 
 const CONTROL_ADDRESS = '127.78.0.3:7100'
@@ -46,18 +46,7 @@
   const entry = new HostTransport({ ...options, peerAddress: '127.78.0.5:7100' }, new Counters())
   const known = new KnownState()
   let left = 0
-  const follower = new ControlFollower({
-    seeds: () => [LINK_ADDRESS],
-    describeHost: () => ({ name: 'entry-1', domain: 'oviedo', region: 'asturias', guestAddress: '127.0.0.1:1', isReady: true, demand: {} }),
-    known,
-    takeLosses: () => [],
-    putLossesBack: () => {},
-    onLosses: () => {},
-    onPlan: () => {},
-    callPeer: entry.callPeer,
-    random: () => 0,
-    log: { ...quiet, warn: () => { left += 1 } }
-  })
+  const follower = followerOf({ seeds: () => [LINK_ADDRESS], known, callPeer: entry.callPeer, log: { ...quiet, warn: () => { left += 1 } } })
   context.after(async () => {
     follower.stop()
     link.stop()
