Log what hosts learn of requests that end upstreams

Logs could not tell apart whether a host was not told of a loss, or nobody saw it: add crashes-learned at entry and control hosts, and the abbreviated fingerprint in upstream-died and request-failed.

--- a/__tests__/follow/slowLink.test.ts
+++ b/__tests__/follow/slowLink.test.ts
@@ -37,7 +37,7 @@
   const control = new HostTransport({ ...options, peerAddress: CONTROL_ADDRESS }, new Counters())
   const plans = new PlanState()
   const upstreams = new UpstreamTable({ lostMilliseconds: 60_000 })
-  const feed = new StateFeed({ feed: 'control', plans, upstreams, entryHosts: new EntryHostTable(), losses: new LossTable(), isCurrent: () => true, listControlHosts: () => [], registerHandler: control.registerHandler })
+  const feed = new StateFeed({ feed: 'control', plans, upstreams, entryHosts: new EntryHostTable(), losses: new LossTable(), isCurrent: () => true, listControlHosts: () => [], registerHandler: control.registerHandler, log: silentLog })
   feed.open()
   await control.listener.open()
   const link = new Forwarder(LINK_ADDRESS, CONTROL_ADDRESS)
--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -173,7 +173,8 @@
       losses: new LossTable(),
       isCurrent: () => this.#replica.status().isCurrent,
       listControlHosts: () => [this.#describeSelf(), ...this.#controlHosts.listOthers()],
-      registerHandler: this.#options.registerHandler
+      registerHandler: this.#options.registerHandler,
+      log: this.#options.log
     })
   }
 
--- a/src/entry/CrashDetector.ts
+++ b/src/entry/CrashDetector.ts
@@ -3,6 +3,7 @@
 import type { Log } from '../observe/Log.js'
 import { Step } from '../types/Step.js'
 import { isListening } from '../utils/isListening.js'
+import { abbreviateFingerprint } from '../utils/abbreviateFingerprint.js'
 
 /** Timeout for a connection to an upstream that broke one: a round trip between regions takes 110 ms. */
 const CONNECT_TIMEOUT_MILLISECONDS = 400
@@ -31,7 +32,7 @@
       const loss = { fingerprint, lostUpstreams: [id] }
       this.#poisonGuard.recordLoss(loss)
       this.#unreportedLosses.push(loss)
-      this.#log.warn('upstream-died', { step: Step.Dispatch, peer: address, upstream: id, fingerprint: fingerprint.slice(0, 16) })
+      this.#log.warn('upstream-died', { step: Step.Dispatch, peer: address, upstream: id, content: abbreviateFingerprint(fingerprint) })
     }, (error: unknown) => { this.#log.warn('crash-check-failed', { step: Step.Dispatch, peer: address, cause: String(error) }) })
   }
 
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -8,13 +8,14 @@
 import type { RetryBound } from '../placement/RetryShare.js'
 import type { EntryHost } from '../registry/EntryHost.js'
 import { isGone } from '../registry/UpstreamRecord.js'
-import { PoisonGuard } from '../relay/PoisonGuard.js'
+import { PoisonGuard, type PoisonRecord } from '../relay/PoisonGuard.js'
 import { HttpListener } from '../transport/HttpListener.js'
 import type { CallPeer } from '../transport/CallPeer.js'
 import { Step } from '../types/Step.js'
 import { CrashDetector } from './CrashDetector.js'
 import { EntryRelay } from './EntryRelay.js'
 import { GuestListener, type GuestListenerOptions } from './GuestListener.js'
+import { abbreviateFingerprint } from '../utils/abbreviateFingerprint.js'
 import { ServiceAdmission } from './ServiceAdmission.js'
 import { UpstreamConnections } from './UpstreamConnections.js'
 import { UpstreamLoads } from './UpstreamLoads.js'
@@ -129,7 +130,7 @@
       known: this.#known,
       takeLosses: () => crashDetector.takeUnreportedLosses(),
       putLossesBack: (records) => { crashDetector.requeueLosses(records) },
-      onLosses: (records) => { for (const record of records) this.#poisonGuard.recordLoss(record) },
+      onLosses: (records) => { this.#learnLosses(records) },
       onPlan: () => { this.#applyPlan() },
       callPeer,
       random,
@@ -165,6 +166,13 @@
     return { name, domain, region, guestAddress, isReady: this.isReady, demand: this.#admission.listDemand() }
   }
 
+  #learnLosses (records: readonly PoisonRecord[]): void {
+    for (const record of records) {
+      this.#poisonGuard.recordLoss(record)
+      this.#options.log.info('crashes-learned', { step: Step.Follow, content: abbreviateFingerprint(record.fingerprint), upstreams: record.lostUpstreams.join(',') })
+    }
+  }
+
   #applyPlan (): void {
     const { plan } = this.#known
     if (plan === undefined) return
--- a/src/entry/recordAnswer.ts
+++ b/src/entry/recordAnswer.ts
@@ -4,6 +4,7 @@
 import type { LatencyBuckets } from '../observe/LatencyBuckets.js'
 import type { Log } from '../observe/Log.js'
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
+import { abbreviateFingerprint } from '../utils/abbreviateFingerprint.js'
 import { Outcome } from '../types/Outcome.js'
 import { Step } from '../types/Step.js'
 import type { EntryRequest } from './EntryRequest.js'
@@ -53,5 +54,5 @@
     loop: loopLateMilliseconds()
   }
   if (answer.outcome === Outcome.Ran) log.info('request-answered', fields)
-  else log.warn('request-failed', fields)
+  else log.warn('request-failed', { ...fields, content: abbreviateFingerprint(progress.fingerprint) })
 }
--- a/src/follow/StateFeed.ts
+++ b/src/follow/StateFeed.ts
@@ -1,3 +1,4 @@
+import type { Log } from '../observe/Log.js'
 import type { PlanSource } from '../plan/PlanSource.js'
 import type { RoutingPlan } from '../plan/RoutingPlan.js'
 import type { ControlHost } from '../registry/ControlHost.js'
@@ -9,6 +10,7 @@
 import { HibiscusrelayError } from '../errors/HibiscusrelayError.js'
 import { PeerMethod } from '../types/PeerMethod.js'
 import { Step } from '../types/Step.js'
+import { abbreviateFingerprint } from '../utils/abbreviateFingerprint.js'
 import type { CurrencyReply, FeedPosition, FollowedUpstream, FollowReply, FollowRequest } from './FollowMessages.js'
 import type { LossTable } from './LossTable.js'
 import { PlanHistory } from './PlanHistory.js'
@@ -29,6 +31,7 @@
   isCurrent: () => boolean
   listControlHosts: () => ControlHost[]
   registerHandler: RegisterPeerHandler
+  log: Log
 }
 
 /** Answers follow requests of entry hosts with the changes since their position. */
@@ -77,7 +80,10 @@
     if (!this.#isOpen) throw new HibiscusrelayError(errorTexts.feedNotReady(), { step: Step.Follow, peer: request.entryHost.name })
     entryHosts.recordReport(request.entryHost)
     this.#reportedAtByName.set(request.entryHost.name, performance.now())
-    if (losses.merge(request.losses)) this.notifyChange()
+    if (losses.merge(request.losses)) {
+      this.#options.log.info('crashes-learned', { step: Step.Follow, peer: request.entryHost.name, contents: request.losses.map(({ fingerprint }) => abbreviateFingerprint(fingerprint)).join(',') })
+      this.notifyChange()
+    }
     if (!this.#hasChanges(request.position)) await this.#waitForChange(request.waitMilliseconds)
     return this.#describeChanges(request.position)
   }
