--- a/examples/platform/PlatformSystem.ts
+++ b/examples/platform/PlatformSystem.ts
@@ -1,6 +1,6 @@
 import { spawn, type ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, openSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 
@@ -12,20 +12,36 @@
 const METRICS_PORT = 27_150
 const CONTROL_HOST_COUNT = 3
 
-/** Three control hosts and one entry host of the platform form, as separate processes on loopback addresses. */
+/** Three control hosts and some entry hosts of the platform form, as separate processes on loopback addresses. */
 export class PlatformSystem {
   readonly #folder = mkdtempSync(join(tmpdir(), 'hibiscusrelay-platform-'))
   readonly #processes: ChildProcess[] = []
   readonly #network: string
+  readonly #entryHostCount: number
+  readonly #domains: readonly string[]
 
-  /** @param networkNumber - second number N of the addresses 127.N.0.1, 127.N.0.2 and so on */
-  constructor (networkNumber: number) {
+  /**
+   * @param networkNumber - second number N of the addresses 127.N.0.1, 127.N.0.2 and so on
+   * @param entryHostCount - number of entry hosts
+   * @param domains - failure domains, in which the hosts of each role are placed in turn
+   */
+  constructor (networkNumber: number, entryHostCount = 1, domains: readonly string[] = ['oviedo']) {
     this.#network = `127.${networkNumber}.0`
+    this.#entryHostCount = entryHostCount
+    this.#domains = domains
   }
 
-  /** Guest address of the entry host. */
+  /** Guest address of the first entry host. */
   get guestAddress (): string {
-    return `${this.#network}.${CONTROL_HOST_COUNT + 1}:${GUEST_PORT}`
+    return this.getGuestAddress(0)
+  }
+
+  /**
+   * @param number - number of an entry host, from 0
+   * @returns its guest address, `ip:port`
+   */
+  getGuestAddress (number: number): string {
+    return `${this.#network}.${CONTROL_HOST_COUNT + number + 1}:${GUEST_PORT}`
   }
 
   /**
@@ -54,7 +70,18 @@
   /** Starts all processes. */
   start (): void {
     for (let number = 0; number < CONTROL_HOST_COUNT; number += 1) this.startControlHost(number, true)
-    this.#spawn('entry', CONTROL_HOST_COUNT, `guest-address = ${this.guestAddress}\nreadiness-address = ${this.readinessAddress}\nmetrics-address = ${this.metricsAddress}`, '', false)
+    for (let number = 0; number < this.#entryHostCount; number += 1) this.startEntryHost(number)
+  }
+
+  /**
+   * Starts an entry host.
+   *
+   * @param number - number of the entry host, from 0
+   */
+  startEntryHost (number: number): ChildProcess {
+    const ip = `${this.#network}.${CONTROL_HOST_COUNT + number + 1}`
+    const listenSettings = `guest-address = ${this.getGuestAddress(number)}\nreadiness-address = ${ip}:${READINESS_PORT}\nmetrics-address = ${ip}:${METRICS_PORT}`
+    return this.#spawn('entry', CONTROL_HOST_COUNT + number, listenSettings, '', false)
   }
 
   /**
@@ -70,13 +97,21 @@
   }
 
   /**
-   * @param number - number of the host; the entry host comes after the control hosts
+   * @param number - number of the host; the entry hosts come after the control hosts
    * @returns its latest process
    */
   getProcess (number: number): ChildProcess {
     return this.#processes[number]!
   }
 
+  /**
+   * @param number - number of the host; the entry hosts come after the control hosts
+   * @returns path of the file with its log
+   */
+  getLogFile (number: number): string {
+    return join(this.#folder, `host-${number}.log`)
+  }
+
   /** Kills all processes that are still running, and removes all files. */
   async stop (): Promise<void> {
     await Promise.all(this.#processes.map(async (child) => {
@@ -91,11 +126,11 @@
     const ip = `${this.#network}.${number + 1}`
     const seeds = Array.from({ length: CONTROL_HOST_COUNT }, (_, seed) => this.getControlAddress(seed)).join(',')
     const file = join(this.#folder, `${role}-${number}.ini`)
-    writeFileSync(file, `[host]\nname = ${role}-${number}\nfailure-domain = oviedo\nregion = asturias\n${folderSetting}\n` +
+    writeFileSync(file, `[host]\nname = ${role}-${number}\nfailure-domain = ${this.#domains[number % this.#domains.length]}\nregion = asturias\n${folderSetting}\n` +
       `[listen]\npeer-address = ${ip}:${PEER_PORT}\n${listenSettings}\n` +
       `[control]\nseed-addresses = ${seeds}\npeer-port = ${PEER_PORT}\nfirst-start = ${isFirstStart}\n` +
-      '[limits]\nstop-seconds = 4\n[regions]\noviedo = asturias\n')
-    const child = spawn(process.execPath, [`target/${role}.mjs`], { env: { HIBISCUSRELAY_NODE_FILE: file }, stdio: ['ignore', 'ignore', 'inherit'] })
+      `[limits]\nstop-seconds = 4\n[regions]\n${this.#domains.map((domain) => `${domain} = asturias\n`).join('')}`)
+    const child = spawn(process.execPath, [`target/${role}.mjs`], { env: { HIBISCUSRELAY_NODE_FILE: file }, stdio: ['ignore', openSync(this.getLogFile(number), 'a'), 'inherit'] })
     this.#processes[number] = child
     return child
   }
--- a/examples/platform/httpCalls.ts
+++ b/examples/platform/httpCalls.ts
@@ -50,6 +50,7 @@
     const outgoing = request({ host, port, path, headers: { Host: 'stock.example', 'Attempt-Id': attemptIdentifier, 'Deadline-Ms': '3000' } }, (answer) => {
       let text = ''
       answer.on('data', (chunk: Buffer) => { text += chunk.toString() })
+      answer.on('error', reject)
       answer.on('end', () => { resolve({ status: answer.statusCode ?? 0, text, retryAfter: answer.headers['retry-after'] }) })
     })
     outgoing.on('error', reject)
