Identify a request by virtual host, not by the service of its route

Callers saw a request under which upstreams had ended accepted again where the route splits its traffic, or after a change of the route's service: the digest held the service, so losses were counted once for each service. It holds the virtual host of the route instead, which a copy always shares.

--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -78,7 +78,7 @@
   async serve (request: EntryRequest): Promise<RelayAnswer> {
     const { route } = request
     const service = pickTarget(route.targets, this.#options.random())
-    const progress = new RequestProgress(service, fingerprintRequest({ service, method: request.method, path: request.path, body: request.body }))
+    const progress = new RequestProgress(service, fingerprintRequest({ scope: route.host, method: request.method, path: request.path, body: request.body }))
     this.#getRetryShare(service).recordRequest(performance.now())
     const answer = await this.#admit(request, progress)
     recordAnswer(this.#options, request, progress, answer)
--- a/src/guest/readGuestRequest.ts
+++ b/src/guest/readGuestRequest.ts
@@ -61,7 +61,7 @@
     requestClass,
     key,
     deadline,
-    fingerprint: fingerprintRequest({ service: target.service, method, path: target.path, body }),
+    fingerprint: fingerprintRequest({ scope: target.service, method, path: target.path, body }),
     mayWait: true,
     mayStart: () => true,
     cancelled: context.cancelled
