Count an upstream that comes back under its old identifier again

Callers saw a request end upstreams without end where these keep their identifier: losses were counted by identifier, so a second end of the same one was no new loss. They are counted by identifier and time of start.

--- a/src/entry/CrashDetector.ts
+++ b/src/entry/CrashDetector.ts
@@ -1,5 +1,5 @@
 import type { PoisonGuard, PoisonRecord } from '../relay/PoisonGuard.js'
-import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
+import { getIncarnation, type UpstreamRecord } from '../registry/UpstreamRecord.js'
 import type { Log } from '../observe/Log.js'
 import { Step } from '../types/Step.js'
 import { isListening } from '../utils/isListening.js'
@@ -26,13 +26,15 @@
   }
 
   /** Checks an upstream whose connection broke during a request, and records a loss if it has died. */
-  checkUpstream (fingerprint: string, { id, address }: UpstreamRecord): void {
+  checkUpstream (fingerprint: string, record: UpstreamRecord): void {
+    const { address } = record
+    const incarnation = getIncarnation(record)
     isListening(address, CONNECT_TIMEOUT_MILLISECONDS, MINIMUM_CONNECTION_LIFETIME_MILLISECONDS).then((isStillListening) => {
       if (isStillListening) return
-      const loss = { fingerprint, lostUpstreams: [id] }
+      const loss = { fingerprint, lostUpstreams: [incarnation] }
       this.#poisonGuard.recordLoss(loss)
       this.#unreportedLosses.push(loss)
-      this.#log.warn('upstream-died', { step: Step.Dispatch, peer: address, upstream: id, content: abbreviateFingerprint(fingerprint) })
+      this.#log.warn('upstream-died', { step: Step.Dispatch, peer: address, upstream: incarnation, content: abbreviateFingerprint(fingerprint) })
     }, (error: unknown) => { this.#log.warn('crash-check-failed', { step: Step.Dispatch, peer: address, cause: String(error) }) })
   }
 
--- a/src/registry/UpstreamRecord.ts
+++ b/src/registry/UpstreamRecord.ts
@@ -44,3 +44,11 @@
 export function isGone (record: UpstreamRecord): boolean {
   return record.readiness === UpstreamReadiness.Gone
 }
+
+/**
+ * @param record - a record of an upstream
+ * @returns a name of this start of the upstream; identifiers may be used again after a restart
+ */
+export function getIncarnation ({ id, bornAt }: Pick<UpstreamRecord, 'id' | 'bornAt'>): string {
+  return `${id}@${bornAt}`
+}
