--- a/__performance_tests__/placement/ModelDay.ts
+++ b/__performance_tests__/placement/ModelDay.ts
@@ -131,7 +131,7 @@
     setTimeout(() => {
       for (const { known } of this.#hosts) {
         known.merge({
-          position: { feed: 'model', revision: 1, lossRevision: 0, planVersion: 1, evacuationRevision: 0 },
+          position: { feed: 'model', revision: 1, crashRevision: 0, planVersion: 1, evacuationRevision: 0 },
           plan: this.#plan,
           upstreams: known.plan === undefined ? this.#upstreamRecords.map((record) => ({ record, isLost: false })) : [],
           isComplete: true,
@@ -139,7 +139,7 @@
           entryHosts: this.#hosts.length,
           demand,
           controlHosts: [],
-          losses: []
+          crashes: { requests: [], unreachableUpstreams: [] }
         })
       }
     }, 1)
--- a/__performance_tests__/placement/createModelHost.ts
+++ b/__performance_tests__/placement/createModelHost.ts
@@ -1,12 +1,12 @@
 import { upstreamProtocol } from '../../platform/wire/upstreamProtocol.js'
-import { CrashDetector } from '../../src/entry/CrashDetector.js'
+import { createSender } from '../../__tests__/support/createSender.js'
 import { EntryRelay } from '../../src/entry/EntryRelay.js'
 import { ServiceAdmission } from '../../src/entry/ServiceAdmission.js'
 import { UpstreamLoads } from '../../src/entry/UpstreamLoads.js'
 import { KnownState } from '../../src/follow/KnownState.js'
 import { Counters } from '../../src/observe/Counters.js'
 import { LatencyBuckets } from '../../src/observe/LatencyBuckets.js'
-import { PoisonGuard } from '../../src/relay/PoisonGuard.js'
+import { ListenerState } from '../../src/utils/probeListener.js'
 import { ModelConnections, type ModelNetwork } from './ModelConnections.js'
 
 const silentLog = { info: () => {}, warn: () => {}, error: () => {} }
@@ -30,20 +30,16 @@
   const known = new KnownState()
   const loads = new UpstreamLoads(known)
   const admission = new ServiceAdmission(known, loads)
-  const poison = new PoisonGuard()
   const relay = new EntryRelay({
     hostName: name,
     region: regionOf(domain),
     known,
     loads,
     admission,
-    connections: new ModelConnections(network, domain),
     protocol: upstreamProtocol,
-    poison,
-    crashes: new CrashDetector(poison, silentLog),
+    ...createSender({ known, loads, connections: new ModelConnections(network, domain), protocol: upstreamProtocol, answerBufferBytes: 65_536, probe: async () => ListenerState.Open }),
     retryBound: () => ({ ratio: 0.2, allowance: 112, windowMilliseconds: 10_000 }),
     regionOf,
-    answerBufferBytes: 65_536,
     random: network.random,
     counters: new Counters(),
     latencies: new LatencyBuckets(),
--- a/__tests__/entry/createRelayFixture.ts
+++ b/__tests__/entry/createRelayFixture.ts
@@ -1,5 +1,4 @@
 import { upstreamProtocol } from '../../platform/wire/upstreamProtocol.js'
-import { CrashDetector } from '../../src/entry/CrashDetector.js'
 import { EntryRelay, type EntryRelayOptions } from '../../src/entry/EntryRelay.js'
 import { ServiceAdmission } from '../../src/entry/ServiceAdmission.js'
 import { UpstreamConnections } from '../../src/entry/UpstreamConnections.js'
@@ -8,7 +7,7 @@
 import { Counters } from '../../src/observe/Counters.js'
 import { LatencyBuckets } from '../../src/observe/LatencyBuckets.js'
 import type { PlanRoute } from '../../src/plan/RoutingPlan.js'
-import { PoisonGuard } from '../../src/relay/PoisonGuard.js'
+import { createSender, type SenderParts } from '../support/createSender.js'
 import { createFollowReply } from '../follow/createFollowReply.js'
 import { createPlan, createRoute } from '../plan/createPlan.js'
 import { createUpstreamRecord } from '../registry/createUpstreamRecord.js'
@@ -16,7 +15,7 @@
 const silentLog = { info: () => {}, warn: () => {}, error: () => {} }
 
 /** A relay with its known state and its connections. */
-export interface RelayFixture {
+export interface RelayFixture extends SenderParts {
   relay: EntryRelay
   known: KnownState
   connections: UpstreamConnections
@@ -35,21 +34,18 @@
   // KnownState reports an infinite number of entry hosts at first; a fixed number of 1 gives this host the full share of the retries.
   Object.defineProperty(known, 'entryHosts', { value: 1 })
   const connections = new UpstreamConnections()
-  const poison = new PoisonGuard()
   const loads = new UpstreamLoads(known)
+  const parts = createSender({ known, loads, connections, protocol: upstreamProtocol, answerBufferBytes: 1024 })
   const relay = new EntryRelay({
     hostName: 'entry-1',
     region: 'asturias',
     known,
     loads,
     admission: new ServiceAdmission(known, loads),
-    connections,
     protocol: upstreamProtocol,
-    poison,
-    crashes: new CrashDetector(poison, silentLog),
+    ...parts,
     retryBound: () => ({ ratio: 0.2, allowance: 1_000_000, windowMilliseconds: 10_000 }),
     regionOf: () => 'asturias',
-    answerBufferBytes: 1024,
     random: () => 0,
     counters: new Counters(),
     latencies: new LatencyBuckets(),
@@ -57,5 +53,5 @@
     log: silentLog,
     ...options
   })
-  return { relay, known, connections }
+  return { relay, known, connections, ...parts }
 }
--- a/__tests__/entry/sameIdentity.test.ts
+++ b/__tests__/entry/sameIdentity.test.ts
@@ -15,6 +15,7 @@
       socket.resetAndDestroy()
     })
   })
+  server.unref()
   await new Promise<void>((resolve) => { server.listen(port, '127.0.0.1', resolve) })
   return (server.address() as { port: number }).port
 }
--- a/__tests__/follow/ControlFollower.test.ts
+++ b/__tests__/follow/ControlFollower.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test, type TestContext } from 'node:test'
 import { KnownState } from '../../src/follow/KnownState.js'
-import { LossTable } from '../../src/follow/LossTable.js'
+import { CrashTable } from '../../src/crashes/CrashTable.js'
 import { StateFeed } from '../../src/follow/StateFeed.js'
 import { PlanEntryKind } from '../../src/plan/PlanEntry.js'
 import { PlanState } from '../../src/plan/PlanState.js'
@@ -17,8 +17,6 @@
 import { advance, pauseClock } from '../support/pauseClock.js'
 
 /** Shortest of the users' limits for the time until a change is in force at the hosts of a large deployment. */
-const silentLog = { info: () => {}, warn: () => {}, error: () => {} }
-
 const MAXIMUM_APPLY_MILLISECONDS = 2_500
 const controlHosts = [{ peerAddress: 'far', domain: 'bilbao', region: 'euskadi' }, { peerAddress: 'near', domain: 'oviedo', region: 'asturias' }]
 
@@ -33,7 +31,7 @@
   constructor (network: MemoryNetwork, name: string, others: ControlHost[]) {
     const { registerHandler } = network.addHost(name)
     const { plans, upstreams, entryHosts } = this
-    this.feed = new StateFeed({ feed: name, plans, upstreams, entryHosts, losses: new LossTable(), isCurrent: () => this.isCurrent, listControlHosts: () => [...controlHosts, ...others], registerHandler, log: silentLog })
+    this.feed = new StateFeed({ feed: name, plans, upstreams, entryHosts, crashes: new CrashTable(), isCurrent: () => this.isCurrent, listControlHosts: () => [...controlHosts, ...others], registerHandler })
     this.feed.open()
   }
 
--- a/__tests__/follow/createFollower.ts
+++ b/__tests__/follow/createFollower.ts
@@ -6,9 +6,9 @@
 export function createFollower (overrides: Pick<ControlFollowerOptions, 'seeds' | 'known' | 'callPeer'> & Partial<ControlFollowerOptions>): ControlFollower {
   return new ControlFollower({
     describeHost: () => ({ name: 'entry-1', domain: 'oviedo', region: 'asturias', guestAddress: '127.0.0.1:1', isReady: true, demand: {} }),
-    takeLosses: () => [],
-    putLossesBack: () => {},
-    onLosses: () => {},
+    onCrashes: () => {},
+    onNewFeed: () => {},
+    onUpstreams: () => {},
     onPlan: () => {},
     random: () => 0,
     log: silentLog,
--- a/__tests__/follow/slowLink.test.ts
+++ b/__tests__/follow/slowLink.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test, type TestContext } from 'node:test'
 import { KnownState } from '../../src/follow/KnownState.js'
-import { LossTable } from '../../src/follow/LossTable.js'
+import { CrashTable } from '../../src/crashes/CrashTable.js'
 import { StateFeed } from '../../src/follow/StateFeed.js'
 import { Counters } from '../../src/observe/Counters.js'
 import { PlanEntryKind } from '../../src/plan/PlanEntry.js'
@@ -37,7 +37,7 @@
   const control = new HostTransport({ ...options, peerAddress: CONTROL_ADDRESS }, new Counters())
   const plans = new PlanState()
   const upstreams = new UpstreamTable({ lostMilliseconds: 60_000 })
-  const feed = new StateFeed({ feed: 'control', plans, upstreams, entryHosts: new EntryHostTable(), losses: new LossTable(), isCurrent: () => true, listControlHosts: () => [], registerHandler: control.registerHandler, log: silentLog })
+  const feed = new StateFeed({ feed: 'control', plans, upstreams, entryHosts: new EntryHostTable(), crashes: new CrashTable(), isCurrent: () => true, listControlHosts: () => [], registerHandler: control.registerHandler })
   feed.open()
   await control.listener.open()
   const link = new Forwarder(LINK_ADDRESS, CONTROL_ADDRESS)
--- a/__tests__/platform/crashingRequest.test.ts
+++ b/__tests__/platform/crashingRequest.test.ts
@@ -43,11 +43,12 @@
 })
 
 for (const kind of Object.values(CrashKind)) {
-  test(`a request that ends upstreams (${kind}) ends at most three of them, and innocent requests are served`, { timeout: 60_000 }, async () => {
+  test(`a request that ends upstreams (${kind}) ends at most three of them, and innocent requests are served`, { timeout: 60_000 }, async (context) => {
     const path = `/lookups/crash/${kind}/1`
     const innocents = startInnocentLoad(kind)
     await resendCrashingRequest(path).catch((error: unknown) => { innocents.end(); throw error })
     const { failed, answers, paths } = await innocents.stop()
+    context.diagnostic(`${countCrashes(path)} upstreams ended, ${failed} of ${answers.length} innocent requests failed`)
     assert.ok(countCrashes(path) <= MAXIMUM_CRASHES, `${countCrashes(path)} upstreams ended`)
     assert.equal(answers.filter(({ status }) => status === STATUS_POISON).length, 0, 'innocent requests that were refused as crashing ones')
     assert.ok(failed < 0.02 * answers.length, `${failed} of ${answers.length} innocent requests failed`)
--- /dev/null
+++ b/__tests__/support/createSender.ts
@@ -0,0 +1,35 @@
+import { CrashTable } from '../../src/crashes/CrashTable.js'
+import { CrashDetector, type CrashDetectorOptions } from '../../src/entry/CrashDetector.js'
+import type { EntryRelayOptions } from '../../src/entry/EntryRelay.js'
+import { SuspectGate } from '../../src/entry/SuspectGate.js'
+import { UpstreamRuns } from '../../src/entry/UpstreamRuns.js'
+import { UpstreamSender, type UpstreamSenderOptions } from '../../src/entry/UpstreamSender.js'
+import { SuspectDesk, type SuspectPermitRequest } from '../../src/crashes/SuspectDesk.js'
+import type { CallPeer } from '../../src/transport/CallPeer.js'
+
+const silentLog = { info: () => {}, warn: () => {}, error: () => {} }
+
+/** Parts of an entry relay that send requests and hold back those that end upstreams. */
+export interface SenderParts extends Pick<EntryRelayOptions, 'gate' | 'runs' | 'sender'> {
+  crashes: CrashTable
+  detector: CrashDetector
+}
+
+/**
+ * @param options - known state, loads, connections, protocol, buffer size, and what replaces connections for tests of liveness
+ * @returns a sender with its gate; permits for suspects come from a desk in memory
+ */
+export function createSender (options: Pick<UpstreamSenderOptions, 'known' | 'loads' | 'connections' | 'protocol' | 'answerBufferBytes'> & Pick<CrashDetectorOptions, 'probe'>): SenderParts {
+  const runs = new UpstreamRuns()
+  const crashes = new CrashTable()
+  const detector = new CrashDetector({ runs, crashes, known: options.known, probe: options.probe, onChange: () => {}, log: silentLog })
+  const gate = new SuspectGate({ crashes, detector, listControlHosts: () => ['control'], callPeer: createPermitCalls(), log: silentLog })
+  const sender = new UpstreamSender({ ...options, runs, crashes, detector, onExcuse: () => {}, log: silentLog })
+  return { gate, runs, sender, crashes, detector }
+}
+
+/** @returns calls that a control host with a crash table of its own answers */
+function createPermitCalls (): CallPeer {
+  const desk = new SuspectDesk({ crashes: new CrashTable(), onChange: () => {} })
+  return async <Result>(_address: string, _method: string, request: object) => desk.answer(request as SuspectPermitRequest) as Result
+}
--- /dev/null
+++ b/src/control/ControlHostOptions.ts
@@ -0,0 +1,31 @@
+import type { Counters } from '../observe/Counters.js'
+import type { Log } from '../observe/Log.js'
+import type { CallPeer } from '../transport/CallPeer.js'
+import type { RegisterPeerHandler } from '../transport/PeerHandler.js'
+
+/** Settings of a control host; those that can change are read at each use. */
+export interface ControlHostSettings {
+  peerAddress: string
+  domain: string
+  region: string
+  dataFolder: string
+  /** Peer addresses of the hosts that form the replica group. */
+  seeds: string[]
+  /** Whether the entire system starts for the first time. */
+  isFirstStart: boolean
+  /** Number of voters in a complete replica group. */
+  wantedVoters: number
+  announcementMilliseconds: number
+}
+
+/** Dependencies of {@link ControlHostProcess}. */
+export interface ControlHostOptions {
+  settings: () => ControlHostSettings
+  callPeer: CallPeer
+  registerHandler: RegisterPeerHandler
+  /** Ends the process, which is then started again. */
+  restart: () => void
+  random: () => number
+  counters: Counters
+  log: Log
+}
--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -3,10 +3,8 @@
 import { computeMajority, listVoters } from '../agreement/ReplicaConfiguration.js'
 import { ReplicatedLog } from '../agreement/ReplicatedLog.js'
 import { diskFiles } from '../agreement/storage/diskFiles.js'
-import { LossTable } from '../follow/LossTable.js'
+import { CrashExchange } from '../crashes/CrashExchange.js'
 import { StateFeed } from '../follow/StateFeed.js'
-import type { Counters } from '../observe/Counters.js'
-import type { Log } from '../observe/Log.js'
 import { PlanEntryKind, type PlanEntry } from '../plan/PlanEntry.js'
 import { PlanRegistry } from '../plan/PlanRegistry.js'
 import type { PlanResult } from '../plan/PlanResult.js'
@@ -17,10 +15,9 @@
 import { RegistrySharer } from '../registry/RegistrySharer.js'
 import { UpstreamRegistry } from '../registry/UpstreamRegistry.js'
 import { UpstreamTable } from '../registry/UpstreamTable.js'
-import type { CallPeer } from '../transport/CallPeer.js'
-import type { RegisterPeerHandler } from '../transport/PeerHandler.js'
 import { Step } from '../types/Step.js'
 import { pause } from '../utils/pause.js'
+import type { ControlHostOptions } from './ControlHostOptions.js'
 import { ControlHostTable } from './ControlHostTable.js'
 import { RecoveryFile } from './RecoveryFile.js'
 import { ReplicaGroupManager } from './ReplicaGroupManager.js'
@@ -33,33 +30,6 @@
 /** Time after which a started control host knows all entry hosts: each report is passed on within half a second. */
 const DIRECTORY_WARM_UP_MILLISECONDS = 1_200
 
-/** Settings of a control host; those that can change are read at each use. */
-export interface ControlHostSettings {
-  peerAddress: string
-  domain: string
-  region: string
-  dataFolder: string
-  /** Peer addresses of the hosts that form the replica group. */
-  seeds: string[]
-  /** Whether the entire system starts for the first time. */
-  isFirstStart: boolean
-  /** Number of voters in a complete replica group. */
-  wantedVoters: number
-  announcementMilliseconds: number
-}
-
-/** Dependencies of {@link ControlHostProcess}. */
-export interface ControlHostOptions {
-  settings: () => ControlHostSettings
-  callPeer: CallPeer
-  registerHandler: RegisterPeerHandler
-  /** Ends the process, which is then started again. */
-  restart: () => void
-  random: () => number
-  counters: Counters
-  log: Log
-}
-
 /** A control host: stores plans durably, accepts announcements of upstreams, and informs entry hosts and guests. */
 export class ControlHostProcess {
   readonly plans: PlanRegistry
@@ -68,6 +38,7 @@
   readonly #options: ControlHostOptions
   readonly #planState = new PlanState()
   readonly #upstreamTable: UpstreamTable
+  readonly #crashes: CrashExchange
   readonly #replica: ReplicatedLog<PlanEntry, PlanResult>
   readonly #controlHosts: ControlHostTable
   readonly #stateFeed: StateFeed
@@ -84,6 +55,7 @@
     this.#upstreamTable = new UpstreamTable({ lostMilliseconds: LOST_ANNOUNCEMENT_PERIODS * announcementMilliseconds })
     this.#replica = this.#createReplica()
     this.#controlHosts = new ControlHostTable(peerAddress, () => this.#listSeedsAndMembers())
+    this.#crashes = this.#createCrashExchange()
     this.#stateFeed = this.#createFeed()
     this.#registrySharer = this.#createSharer()
     this.#groupManager = this.#createGroupManager()
@@ -122,6 +94,7 @@
     this.#groupManager.run().catch(onFailure)
     await this.#registrySharer.fetchFromPeers()
     this.#registrySharer.run().catch(onFailure)
+    this.#crashes.start()
     this.#startedAt = performance.now()
     this.#stateFeed.open()
   }
@@ -131,6 +104,7 @@
     this.#groupManager.stop()
     await this.#replica.handOver()
     this.#registrySharer.stop()
+    this.#crashes.stop()
     await this.#replica.stop()
   }
 
@@ -170,11 +144,22 @@
       plans: this.#planSource,
       upstreams: this.#upstreamTable,
       entryHosts: this.entryHosts,
-      losses: new LossTable(),
+      crashes: this.#crashes.table,
       isCurrent: () => this.#replica.status().isCurrent,
       listControlHosts: () => [this.#describeSelf(), ...this.#controlHosts.listOthers()],
-      registerHandler: this.#options.registerHandler,
-      log: this.#options.log
+      registerHandler: this.#options.registerHandler
+    })
+  }
+
+  #createCrashExchange (): CrashExchange {
+    const { settings, callPeer, registerHandler, log } = this.#options
+    return new CrashExchange({
+      hostName: () => settings().peerAddress,
+      listPeers: () => this.#controlHosts.listPeers(),
+      callPeer,
+      registerHandler,
+      onChange: () => { this.#publishChange() },
+      log
     })
   }
 
@@ -219,7 +204,7 @@
       folder: settings().dataFolder,
       describe: () => {
         const { plan, evacuated, evacuationRevision } = this.#planSource
-        return { plan, evacuated, evacuationRevision, upstreams: this.#upstreamTable.describe() }
+        return { plan, evacuated, evacuationRevision, upstreams: this.#upstreamTable.describe(), crashes: this.#crashes.table.changedSince(0) }
       },
       log
     })
@@ -230,6 +215,7 @@
     if (record === undefined) return
     this.#planSource.restore(record)
     this.#upstreamTable.restore(record.upstreams)
+    this.#crashes.restore(record.crashes)
     this.#options.log.info('state-recalled', { step: Step.Storage, plan: record.plan?.version, evacuated: record.evacuated.join(','), upstreams: record.upstreams.length })
   }
 
--- a/src/control/RecoveryFile.ts
+++ b/src/control/RecoveryFile.ts
@@ -3,6 +3,7 @@
 import type { FileOperations } from '../agreement/storage/FileOperations.js'
 import { readRecord } from '../agreement/storage/readRecord.js'
 import { writeFileAtomically } from '../agreement/storage/writeFileAtomically.js'
+import type { CrashReport } from '../crashes/CrashReport.js'
 import type { Log } from '../observe/Log.js'
 import type { PlanSource } from '../plan/PlanSource.js'
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
@@ -16,6 +17,8 @@
 /** State that a control host restores after a restart. */
 export interface RecoveryRecord extends PlanSource {
   upstreams: UpstreamRecord[]
+  /** Requests under which upstreams ended; files of earlier versions have none. */
+  crashes?: CrashReport
 }
 
 /** Dependencies of {@link RecoveryFile}. */
--- /dev/null
+++ b/src/crashes/CrashTable.ts
@@ -0,0 +1,150 @@
+import type { CrashRecord, CrashReport } from './CrashReport.js'
+
+/** Number of upstreams that may end of a request before no upstream gets it any more. */
+const MAXIMUM_LOSSES = 3
+/** Time after its last loss during which a request is remembered. */
+const RETENTION_MILLISECONDS = 600_000
+/** Time during which an unreachable upstream is remembered; hosts look at once when they are told. */
+const UNREACHABLE_RETENTION_MILLISECONDS = 60_000
+/** Maximum number of entries of each kind; a request that ends upstreams is rare. */
+const MAXIMUM_ENTRIES = 1_000
+
+interface RequestEntry {
+  lostUpstreams: Set<string>
+  excusedUpstreams: Set<string>
+  lastLossAt: number
+  revision: number
+}
+
+interface UnreachableEntry {
+  at: number
+  revision: number
+}
+
+/**
+ * Requests under which upstreams ended, as observed by all hosts. Sets of losses and of excuses only grow, so tables that
+ * exchange reports become equal in whatever order these arrive.
+ */
+export class CrashTable {
+  readonly #requestsByFingerprint = new Map<string, RequestEntry>()
+  readonly #unreachableByIncarnation = new Map<string, UnreachableEntry>()
+  #revision = 0
+
+  /** Rises with each change. */
+  get revision (): number {
+    return this.#revision
+  }
+
+  /**
+   * Merges what another host reports.
+   *
+   * @param report - losses, excuses and unreachable upstreams
+   * @returns whether any of it was new
+   */
+  merge ({ requests, unreachableUpstreams }: CrashReport): boolean {
+    const previousRevision = this.#revision
+    for (const record of requests) this.#mergeRecord(record)
+    for (const incarnation of unreachableUpstreams) this.recordUnreachable(incarnation)
+    return this.#revision > previousRevision
+  }
+
+  /**
+   * Records that an upstream process ended while it ran some requests.
+   *
+   * @param incarnation - the upstream process, see {@link getIncarnation}
+   * @param fingerprints - the requests, any of which may have ended it
+   */
+  recordLoss (incarnation: string, fingerprints: Iterable<string>): void {
+    for (const fingerprint of fingerprints) this.#mergeRecord({ fingerprint, lostUpstreams: [incarnation], excusedUpstreams: [] })
+  }
+
+  /** Records that an upstream ran a request completely, so that the losses known so far had another cause. */
+  excuse (fingerprint: string): void {
+    const entry = this.#find(fingerprint)
+    if (entry === undefined || countOpenLosses(entry) === 0) return
+    const lostUpstreams = [...entry.lostUpstreams]
+    this.#mergeRecord({ fingerprint, lostUpstreams, excusedUpstreams: lostUpstreams })
+  }
+
+  /** Records an upstream process to which no connection could be made. */
+  recordUnreachable (incarnation: string): void {
+    if (this.isUnreachable(incarnation)) return
+    this.#unreachableByIncarnation.delete(incarnation)
+    this.#unreachableByIncarnation.set(incarnation, { at: performance.now(), revision: ++this.#revision })
+    evictOldest(this.#unreachableByIncarnation)
+  }
+
+  /** @returns whether a host recently could not reach the upstream process */
+  isUnreachable (incarnation: string): boolean {
+    const entry = this.#unreachableByIncarnation.get(incarnation)
+    return entry !== undefined && performance.now() - entry.at < UNREACHABLE_RETENTION_MILLISECONDS
+  }
+
+  /** @returns whether so many upstreams ended under the request that no other one may get it */
+  isPoison (fingerprint: string): boolean {
+    return this.countLosses(fingerprint) >= MAXIMUM_LOSSES
+  }
+
+  /** @returns number of upstreams that ended under the request and for which it is not excused */
+  countLosses (fingerprint: string): number {
+    const entry = this.#find(fingerprint)
+    return entry === undefined ? 0 : countOpenLosses(entry)
+  }
+
+  /** @returns milliseconds since this host learned of the last loss, infinite when there is none */
+  getLossAge (fingerprint: string): number {
+    return performance.now() - (this.#find(fingerprint)?.lastLossAt ?? Number.NEGATIVE_INFINITY)
+  }
+
+  /** @returns all that is known of one request */
+  describe (fingerprint: string): CrashRecord {
+    const entry = this.#find(fingerprint)
+    return { fingerprint, lostUpstreams: [...entry?.lostUpstreams ?? []], excusedUpstreams: [...entry?.excusedUpstreams ?? []] }
+  }
+
+  /** @returns what changed after a revision */
+  changedSince (revision: number): CrashReport {
+    const hasChanged = ([, entry]: [string, { revision: number }]): boolean => entry.revision > revision
+    return {
+      requests: [...this.#requestsByFingerprint].filter(hasChanged).map(([fingerprint]) => this.describe(fingerprint)).filter(({ lostUpstreams }) => lostUpstreams.length > 0),
+      unreachableUpstreams: [...this.#unreachableByIncarnation].filter(hasChanged).map(([incarnation]) => incarnation).filter((incarnation) => this.isUnreachable(incarnation))
+    }
+  }
+
+  #mergeRecord ({ fingerprint, lostUpstreams, excusedUpstreams }: CrashRecord): void {
+    const entry = this.#find(fingerprint) ?? { lostUpstreams: new Set<string>(), excusedUpstreams: new Set<string>(), lastLossAt: Number.NEGATIVE_INFINITY, revision: 0 }
+    const hasNewLoss = addAll(entry.lostUpstreams, lostUpstreams)
+    const hasNewExcuse = addAll(entry.excusedUpstreams, excusedUpstreams)
+    if (!hasNewLoss && !hasNewExcuse) return
+    if (hasNewLoss) entry.lastLossAt = performance.now()
+    entry.revision = ++this.#revision
+    this.#requestsByFingerprint.delete(fingerprint)
+    this.#requestsByFingerprint.set(fingerprint, entry)
+    evictOldest(this.#requestsByFingerprint)
+  }
+
+  #find (fingerprint: string): RequestEntry | undefined {
+    const entry = this.#requestsByFingerprint.get(fingerprint)
+    if (entry === undefined || performance.now() - entry.lastLossAt <= RETENTION_MILLISECONDS) return entry
+    this.#requestsByFingerprint.delete(fingerprint)
+    return undefined
+  }
+}
+
+function countOpenLosses ({ lostUpstreams, excusedUpstreams }: RequestEntry): number {
+  return [...lostUpstreams].filter((upstream) => !excusedUpstreams.has(upstream)).length
+}
+
+/** @returns whether any value was new */
+function addAll (target: Set<string>, values: readonly string[]): boolean {
+  const previousSize = target.size
+  for (const value of values) target.add(value)
+  return target.size > previousSize
+}
+
+/** Removes the entry that has not changed for the longest time from a map that is too large. */
+function evictOldest (entries: Map<string, unknown>): void {
+  if (entries.size <= MAXIMUM_ENTRIES) return
+  const [oldest] = entries.keys()
+  entries.delete(oldest!)
+}
--- a/src/entry/CrashDetector.ts
+++ b/src/entry/CrashDetector.ts
@@ -1,52 +1,162 @@
-import type { PoisonGuard, PoisonRecord } from '../relay/PoisonGuard.js'
-import { getIncarnation, type UpstreamRecord } from '../registry/UpstreamRecord.js'
+import type { CrashTable } from '../crashes/CrashTable.js'
+import type { KnownState } from '../follow/KnownState.js'
 import type { Log } from '../observe/Log.js'
+import { getIncarnation, UpstreamReadiness, type UpstreamRecord } from '../registry/UpstreamRecord.js'
 import { Step } from '../types/Step.js'
-import { isListening } from '../utils/isListening.js'
 import { abbreviateFingerprint } from '../utils/abbreviateFingerprint.js'
+import { pause } from '../utils/pause.js'
+import { ListenerState, probeListener } from '../utils/probeListener.js'
+import { RecentMap } from '../utils/RecentMap.js'
+import type { UpstreamRun, UpstreamRuns } from './UpstreamRuns.js'
 
-/** Timeout for a connection to an upstream that broke one: a round trip between regions takes 110 ms. */
+/** Timeout for a connection to an upstream: a round trip between regions takes 110 ms. */
 const CONNECT_TIMEOUT_MILLISECONDS = 400
 /** How long that connection must stay open: the sockets of an exiting process close one after another. */
 const MINIMUM_CONNECTION_LIFETIME_MILLISECONDS = 50
+/** Connections closed early after which an upstream counts as alive: one that ends refuses them soon, one at its limit goes on. */
+const MAXIMUM_PROBES = 5
+const PROBE_PAUSE_MILLISECONDS = 50
+/** Age from which a copy in flight is a reason to look at its upstream before the next copy runs, unless that has answered since. */
+const COPY_AGE_MILLISECONDS = 100
+/** Interval at which the upstream of a suspect in flight is looked at. */
+const SUSPECT_REVIEW_MILLISECONDS = 200
+/** Time after an upstream was found alive in which only suspects are a reason to look again. */
+const ALIVE_MILLISECONDS = 1_000
+const MINIMUM_REMEMBERED_UPSTREAMS = 1_000
 
-/** Detects whether an upstream died while running a request or only closed its connection. */
+/** Dependencies of {@link CrashDetector}. */
+export interface CrashDetectorOptions {
+  runs: UpstreamRuns
+  crashes: CrashTable
+  known: KnownState
+  /** Opens a connection to an address for a short time. */
+  probe?: (address: string) => Promise<ListenerState>
+  /** Called after the crash table changed here. */
+  onChange: () => void
+  log: Log
+}
+
+/** Finds out which upstreams ended, and records for each the requests that it may have been running. */
 export class CrashDetector {
-  readonly #poisonGuard: PoisonGuard
-  readonly #log: Log
-  #unreportedLosses: PoisonRecord[] = []
+  readonly #options: CrashDetectorOptions
+  readonly #checksByIncarnation = new Map<string, Promise<void>>()
+  readonly #aliveAt = new RecentMap<number>(MINIMUM_REMEMBERED_UPSTREAMS)
+  readonly #ended = new RecentMap<boolean>(MINIMUM_REMEMBERED_UPSTREAMS)
+  #reviewTimer: NodeJS.Timeout | undefined
+
+  /** @param options - runs of this host, the crash table and the known upstreams */
+  constructor (options: CrashDetectorOptions) {
+    this.#options = options
+  }
 
   /**
-   * @param poisonGuard - stores requests whose upstream died while running them
-   * @param log - receives a line for each upstream that died
+   * Finds out whether an upstream has ended, and records the loss for its runs without a whole answer.
+   * Concurrent calls for the same upstream share one check.
    */
-  constructor (poisonGuard: PoisonGuard, log: Log) {
-    this.#poisonGuard = poisonGuard
-    this.#log = log
+  async checkUpstream (record: UpstreamRecord): Promise<void> {
+    const incarnation = getIncarnation(record)
+    const check = this.#checksByIncarnation.get(incarnation) ?? this.#checkOnce(record, incarnation).finally(() => { this.#checksByIncarnation.delete(incarnation) })
+    this.#checksByIncarnation.set(incarnation, check)
+    await check
   }
 
-  /** Checks an upstream whose connection broke during a request, and records a loss if it has died. */
-  checkUpstream (fingerprint: string, record: UpstreamRecord): void {
-    const { address } = record
-    const incarnation = getIncarnation(record)
-    isListening(address, CONNECT_TIMEOUT_MILLISECONDS, MINIMUM_CONNECTION_LIFETIME_MILLISECONDS).then((isStillListening) => {
-      if (isStillListening) return
-      const loss = { fingerprint, lostUpstreams: [incarnation] }
-      this.#poisonGuard.recordLoss(loss)
-      this.#unreportedLosses.push(loss)
-      this.#log.warn('upstream-died', { step: Step.Dispatch, peer: address, upstream: incarnation, content: abbreviateFingerprint(fingerprint) })
-    }, (error: unknown) => { this.#log.warn('crash-check-failed', { step: Step.Dispatch, peer: address, cause: String(error) }) })
+  /** Checks the upstreams of copies in flight, so that a request does not end a second upstream while the first one is silent. */
+  async checkCopies (fingerprint: string): Promise<void> {
+    const { runs } = this.#options
+    if (runs.isProven(fingerprint)) return
+    const now = performance.now()
+    const unclearCopies = runs.listCopies(fingerprint).filter(({ record, startedAt }) => now - startedAt > COPY_AGE_MILLISECONDS && this.#getAliveAt(record) < startedAt + COPY_AGE_MILLISECONDS)
+    await Promise.all(unclearCopies.map(({ record }) => this.checkUpstream(record)))
+  }
+
+  /** Records a whole answer of an upstream, which shows that it has not ended. */
+  recordAlive (record: UpstreamRecord): void {
+    this.#aliveAt.set(getIncarnation(record), performance.now())
+  }
+
+  /** Records that no connection to an upstream could be made. Hosts with requests in flight there look for themselves. */
+  recordUnreachable (record: UpstreamRecord): void {
+    const { crashes, onChange } = this.#options
+    const { revision } = crashes
+    crashes.recordUnreachable(getIncarnation(record))
+    if (crashes.revision === revision) return
+    onChange()
+    this.review()
+  }
+
+  /** Checks upstreams with runs of this host after news from other hosts, and again while a suspect is in flight. */
+  review (): void {
+    const { runs, log } = this.#options
+    const records = new Map(runs.list().filter((run) => this.#isCheckDue(run)).map(({ record }) => [getIncarnation(record), record]))
+    for (const record of records.values()) {
+      this.checkUpstream(record).catch((error: unknown) => { log.warn('crash-check-failed', { step: Step.Dispatch, peer: record.address, cause: String(error) }) })
+    }
+    if (!runs.list().some((run) => run.isInFlight && this.#isSuspect(run))) return
+    this.#reviewTimer ??= setTimeout(() => {
+      this.#reviewTimer = undefined
+      this.review()
+    }, SUSPECT_REVIEW_MILLISECONDS).unref()
+  }
+
+  #isCheckDue (run: UpstreamRun): boolean {
+    const { crashes, known } = this.#options
+    const { record } = run
+    if (known.upstreams.isReplaced(record)) return true
+    if (this.#isSuspect(run)) return !this.#wasAlive(record, SUSPECT_REVIEW_MILLISECONDS / 2)
+    if (!crashes.isUnreachable(getIncarnation(record)) && !known.isLost(record.id)) return false
+    return !this.#wasAlive(record, ALIVE_MILLISECONDS)
+  }
+
+  #isSuspect ({ fingerprint }: UpstreamRun): boolean {
+    return this.#options.crashes.countLosses(fingerprint) > 0
+  }
+
+  #wasAlive (record: UpstreamRecord, milliseconds: number): boolean {
+    return performance.now() - this.#getAliveAt(record) < milliseconds
+  }
+
+  #getAliveAt (record: UpstreamRecord): number {
+    return this.#aliveAt.get(getIncarnation(record)) ?? Number.NEGATIVE_INFINITY
   }
 
-  /** @returns losses that other hosts have not received yet; they are removed from the list */
-  takeUnreportedLosses (): PoisonRecord[] {
-    const losses = this.#unreportedLosses
-    this.#unreportedLosses = []
-    return losses
+  async #checkOnce (record: UpstreamRecord, incarnation: string): Promise<void> {
+    const { known } = this.#options
+    const hasEnded = this.#ended.get(incarnation) === true || known.upstreams.isReplaced(record)
+    const isAlive = !hasEnded && await this.#isListening(record.address)
+    // Another start of the upstream may have been announced meanwhile, at the same address.
+    if (isAlive && !known.upstreams.isReplaced(record)) this.recordAlive(record)
+    else this.#recordEnd(record, incarnation)
   }
 
-  /** Puts back losses that could not be reported. */
-  requeueLosses (losses: PoisonRecord[]): void {
-    this.#unreportedLosses.unshift(...losses)
+  async #isListening (address: string): Promise<boolean> {
+    const { probe = probeUpstream } = this.#options
+    for (let attempt = 0; attempt < MAXIMUM_PROBES; attempt += 1) {
+      const state = await probe(address)
+      if (state !== ListenerState.ClosedEarly) return state !== ListenerState.Unreachable
+      await pause(PROBE_PAUSE_MILLISECONDS)
+    }
+    return true
   }
+
+  #recordEnd (record: UpstreamRecord, incarnation: string): void {
+    const { runs, crashes, known, onChange, log } = this.#options
+    if (isLeaving(known.upstreams.get(record.id)?.record, record.bornAt) && !known.upstreams.isReplaced(record)) return
+    this.#ended.set(incarnation, true)
+    const fingerprints = runs.listFingerprints(incarnation)
+    const { revision } = crashes
+    crashes.recordLoss(incarnation, fingerprints)
+    if (crashes.revision === revision) return
+    log.warn('upstream-died', { step: Step.Dispatch, peer: record.address, upstream: incarnation, contents: [...fingerprints].map(abbreviateFingerprint).join(',') })
+    onChange()
+    this.review()
+  }
+}
+
+/** @returns whether an upstream announced that it leaves: its end is planned then */
+function isLeaving (latest: UpstreamRecord | undefined, bornAt: number): boolean {
+  return latest !== undefined && latest.bornAt === bornAt && latest.readiness !== UpstreamReadiness.Ready
+}
+
+async function probeUpstream (address: string): Promise<ListenerState> {
+  return await probeListener(address, CONNECT_TIMEOUT_MILLISECONDS, MINIMUM_CONNECTION_LIFETIME_MILLISECONDS)
 }
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -1,4 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
+import { CrashSharer } from '../crashes/CrashSharer.js'
+import { CrashTable } from '../crashes/CrashTable.js'
+import { logLearnedCrashes } from '../crashes/logLearnedCrashes.js'
+import type { CrashReport } from '../crashes/CrashReport.js'
 import { ControlFollower } from '../follow/ControlFollower.js'
 import { KnownState } from '../follow/KnownState.js'
 import type { Counters } from '../observe/Counters.js'
@@ -8,18 +12,19 @@
 import type { RetryBound } from '../placement/RetryShare.js'
 import type { EntryHost } from '../registry/EntryHost.js'
 import { isGone } from '../registry/UpstreamRecord.js'
-import { PoisonGuard, type PoisonRecord } from '../relay/PoisonGuard.js'
 import { HttpListener } from '../transport/HttpListener.js'
 import type { CallPeer } from '../transport/CallPeer.js'
 import { Step } from '../types/Step.js'
 import { CrashDetector } from './CrashDetector.js'
 import { EntryRelay } from './EntryRelay.js'
 import { GuestListener, type GuestListenerOptions } from './GuestListener.js'
-import { abbreviateFingerprint } from '../utils/abbreviateFingerprint.js'
 import { ServiceAdmission } from './ServiceAdmission.js'
+import { SuspectGate } from './SuspectGate.js'
 import { UpstreamConnections } from './UpstreamConnections.js'
 import { UpstreamLoads } from './UpstreamLoads.js'
 import type { UpstreamProtocol } from './UpstreamProtocol.js'
+import { UpstreamRuns } from './UpstreamRuns.js'
+import { UpstreamSender } from './UpstreamSender.js'
 
 /** Maximum size of the header of a request. It is set before a plan is known; the limit in the plan is not applied. */
 const MAXIMUM_HEADER_BYTES = 65_536
@@ -65,10 +70,13 @@
   readonly #known = new KnownState()
   readonly #loads = new UpstreamLoads(this.#known)
   readonly #connections = new UpstreamConnections()
-  readonly #poisonGuard = new PoisonGuard()
+  readonly #runs = new UpstreamRuns()
+  readonly #crashes = new CrashTable()
   readonly #admission = new ServiceAdmission(this.#known, this.#loads)
   readonly #eventLoopMonitor: EventLoopMonitor
   readonly #follower: ControlFollower
+  readonly #crashSharer: CrashSharer
+  readonly #crashDetector: CrashDetector
   readonly #listener: HttpListener
   #isListening = false
   #isStopping = false
@@ -77,10 +85,11 @@
   /** @param options - settings, protocols, metrics and log */
   constructor (options: EntryHostOptions) {
     this.#options = options
-    const crashDetector = new CrashDetector(this.#poisonGuard, options.log)
     this.#eventLoopMonitor = new EventLoopMonitor(options.log, options.counters)
-    this.#follower = this.#createFollower(crashDetector)
-    const guestListener = new GuestListener({ ...options, known: this.#known, relay: this.#createRelay(crashDetector) })
+    this.#follower = this.#createFollower()
+    this.#crashSharer = this.#createCrashSharer()
+    this.#crashDetector = new CrashDetector({ runs: this.#runs, crashes: this.#crashes, known: this.#known, onChange: () => { this.#crashSharer.share() }, log: options.log })
+    const guestListener = new GuestListener({ ...options, known: this.#known, relay: this.#createRelay() })
     this.#listener = new HttpListener({
       address: options.settings().guestAddress,
       headerBytes: MAXIMUM_HEADER_BYTES,
@@ -97,6 +106,7 @@
   /** Starts to follow the control hosts and to listen for guests. */
   async start (): Promise<void> {
     this.#follower.run().catch((error: unknown) => { this.#options.log.error('follower-failed', { step: Step.Follow, cause: String(error) }) })
+    this.#crashSharer.start()
     await this.#listener.open()
     this.#eventLoopMonitor.start()
     this.#isListening = true
@@ -117,20 +127,21 @@
     await this.#listener.closeWithin(stopDeadline - performance.now())
     const abortedRequests = this.#listener.inFlight
     this.#follower.stop()
+    this.#crashSharer.stop()
     clearInterval(this.#pruneTimer)
     this.#eventLoopMonitor.stop()
     return abortedRequests
   }
 
-  #createFollower (crashDetector: CrashDetector): ControlFollower {
+  #createFollower (): ControlFollower {
     const { callPeer, random, log, settings } = this.#options
     return new ControlFollower({
       seeds: () => settings().seeds,
       describeHost: () => this.#describeHost(),
       known: this.#known,
-      takeLosses: () => crashDetector.takeUnreportedLosses(),
-      putLossesBack: (records) => { crashDetector.requeueLosses(records) },
-      onLosses: (records) => { this.#learnLosses(records) },
+      onCrashes: (report, address) => { this.#learnCrashes(report, address) },
+      onNewFeed: (address) => { this.#crashSharer.forgetConfirmations(address) },
+      onUpstreams: () => { this.#crashDetector.review() },
       onPlan: () => { this.#applyPlan() },
       callPeer,
       random,
@@ -138,21 +149,31 @@
     })
   }
 
-  #createRelay (crashDetector: CrashDetector): EntryRelay {
-    const { settings, protocol, random, counters, latencies, log } = this.#options
+  #createCrashSharer (): CrashSharer {
+    const { settings, callPeer, log } = this.#options
+    return new CrashSharer({
+      hostName: () => settings().name,
+      crashes: this.#crashes,
+      listPeers: () => this.#follower.followedAddress === undefined ? [] : [this.#follower.followedAddress],
+      callPeer,
+      log
+    })
+  }
+
+  #createRelay (): EntryRelay {
+    const { settings, protocol, random, callPeer, counters, latencies, log } = this.#options
     return new EntryRelay({
       hostName: settings().name,
       region: settings().region,
       known: this.#known,
       loads: this.#loads,
       admission: this.#admission,
-      connections: this.#connections,
       protocol,
-      poison: this.#poisonGuard,
-      crashes: crashDetector,
+      gate: new SuspectGate({ crashes: this.#crashes, detector: this.#crashDetector, listControlHosts: () => this.#follower.listControlHosts(), callPeer, log }),
+      runs: this.#runs,
+      sender: this.#createSender(),
       retryBound: () => settings().retryBound,
       regionOf: (domain) => settings().regions.get(domain),
-      answerBufferBytes: MAXIMUM_BUFFERED_ANSWER_BYTES,
       random,
       counters,
       latencies,
@@ -161,16 +182,31 @@
     })
   }
 
+  #createSender (): UpstreamSender {
+    const { protocol, log } = this.#options
+    return new UpstreamSender({
+      known: this.#known,
+      loads: this.#loads,
+      connections: this.#connections,
+      protocol,
+      runs: this.#runs,
+      crashes: this.#crashes,
+      detector: this.#crashDetector,
+      onExcuse: () => { this.#crashSharer.share() },
+      answerBufferBytes: MAXIMUM_BUFFERED_ANSWER_BYTES,
+      log
+    })
+  }
+
   #describeHost (): EntryHost {
     const { name, domain, region, guestAddress } = this.#options.settings()
     return { name, domain, region, guestAddress, isReady: this.isReady, demand: this.#admission.listDemand() }
   }
 
-  #learnLosses (records: readonly PoisonRecord[]): void {
-    for (const record of records) {
-      this.#poisonGuard.recordLoss(record)
-      this.#options.log.info('crashes-learned', { step: Step.Follow, content: abbreviateFingerprint(record.fingerprint), upstreams: record.lostUpstreams.join(',') })
-    }
+  #learnCrashes (report: CrashReport, address: string): void {
+    if (!this.#crashes.merge(report)) return
+    logLearnedCrashes(this.#options.log, address, report)
+    this.#crashDetector.review()
   }
 
   #applyPlan (): void {
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -10,10 +10,9 @@
 import { RetryShare, type RetryBound } from '../placement/RetryShare.js'
 import { pickTarget } from '../plan/pickTarget.js'
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
-import { exchange, type ExchangeAnswer } from '../relay/exchange.js'
+import type { ExchangeAnswer } from '../relay/exchange.js'
 import { answerFailedExchange } from '../relay/answerFailedExchange.js'
 import { fingerprintRequest } from '../relay/fingerprintRequest.js'
-import type { PoisonGuard } from '../relay/PoisonGuard.js'
 import { answerUnknown, refuse } from '../relay/refuse.js'
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
 import { recordAnswer } from './recordAnswer.js'
@@ -21,15 +20,16 @@
 import { RefusalReason } from '../types/RefusalReason.js'
 import { RequestClass } from '../types/RequestClass.js'
 import { RetryReason } from '../types/RetryReason.js'
-import type { CrashDetector } from './CrashDetector.js'
 import { createAdmissionRequest } from './createAdmissionRequest.js'
 import type { EntryRequest } from './EntryRequest.js'
 import { listCandidates, type PlacementCandidate } from './listCandidates.js'
 import { RequestProgress } from './RequestProgress.js'
 import type { ServiceAdmission } from './ServiceAdmission.js'
-import type { UpstreamConnections } from './UpstreamConnections.js'
+import type { SuspectGate } from './SuspectGate.js'
 import type { UpstreamLoads } from './UpstreamLoads.js'
 import { AnswerKind, type UpstreamProtocol } from './UpstreamProtocol.js'
+import type { UpstreamRuns } from './UpstreamRuns.js'
+import type { ClassifiedAnswer, UpstreamSender } from './UpstreamSender.js'
 
 /** Maximum number of failed attempts to connect for one request: they send nothing, but take time. */
 const MAXIMUM_FAILED_CONNECTS = 3
@@ -43,13 +43,12 @@
   known: KnownState
   loads: UpstreamLoads
   admission: ServiceAdmission
-  connections: Pick<UpstreamConnections, 'to'>
   protocol: UpstreamProtocol
-  poison: PoisonGuard
-  crashes: CrashDetector
+  gate: Pick<SuspectGate, 'enter'>
+  runs: Pick<UpstreamRuns, 'isProven'>
+  sender: UpstreamSender
   retryBound: () => RetryBound
   regionOf: (domain: string) => string | undefined
-  answerBufferBytes: number
   random: () => number
   counters: Counters
   latencies: LatencyBuckets
@@ -101,11 +100,15 @@
 
   async #sendUntilAnswered (request: EntryRequest, progress: RequestProgress): Promise<RelayAnswer> {
     for (;;) {
-      if (this.#options.poison.isPoison(progress.fingerprint)) return progress.mayHaveRun ? answerUnknown(RefusalReason.AnswerLost) : refuse(RefusalReason.Poison)
+      const leaveGate = await this.#options.gate.enter({ fingerprint: progress.fingerprint, deadline: request.deadline, cancelled: request.cancelled })
+      if (typeof leaveGate !== 'function') return this.#finishUnanswered(progress, leaveGate)
       const chosen = this.#chooseUpstream(request, progress)
-      if (chosen === undefined) return this.#finishUnanswered(progress, progress.candidateCount === 0 ? RefusalReason.NoUpstream : RefusalReason.UpstreamsFull)
+      if (chosen === undefined) {
+        leaveGate()
+        return this.#finishUnanswered(progress, progress.candidateCount === 0 ? RefusalReason.NoUpstream : RefusalReason.UpstreamsFull)
+      }
       if (chosen.isCold) this.#coldShare.take(chosen.record.id, performance.now())
-      const answer = await this.#send(request, progress, chosen.record)
+      const answer = await this.#send(request, progress, chosen.record, leaveGate)
       if (answer !== undefined) return answer
       if (!this.#canRetry(request, progress)) return this.#finishUnanswered(progress, progress.reason)
       this.#options.counters.increment(retryCounter(progress.retryReason))
@@ -117,7 +120,7 @@
     const { route } = request
     const candidates = listCandidates(known, loads, {
       service: progress.service,
-      placementKey: getPlacementKey(request),
+      placementKey: this.#getPlacementKey(request, progress),
       homeRegions: route.homeRegions,
       region: this.#options.region,
       excludedUpstreams: progress.excludedUpstreams,
@@ -138,54 +141,26 @@
   }
 
   /** @returns the answer for the guest, undefined when the attempt gave none */
-  async #send (request: EntryRequest, progress: RequestProgress, record: UpstreamRecord): Promise<RelayAnswer | undefined> {
-    const load = this.#options.loads.get(record.id)
+  async #send (request: EntryRequest, progress: RequestProgress, record: UpstreamRecord, onSettled: () => void): Promise<RelayAnswer | undefined> {
     progress.recordAttempt(record.id)
-    load.start()
     try {
-      const answer = await this.#exchange(request, record)
-      answer.finished.then(() => { load.end() }, () => { load.end() })
+      const answer = await this.#options.sender.send({ request, fingerprint: progress.fingerprint, record, onSettled })
       return this.#handleAnswer(request, progress, record, answer)
     } catch (error) {
-      load.end()
       if (!(error instanceof ExchangeError)) throw error
       return this.#handleFailure(progress, record, error)
     }
   }
 
-  #exchange (request: EntryRequest, record: UpstreamRecord): Promise<ExchangeAnswer> {
-    const { connections, protocol, answerBufferBytes } = this.#options
-    const remainingMilliseconds = Math.max(1, Math.floor(request.deadline - performance.now()))
-    return exchange(connections.to(record), {
-      peer: record.address,
-      method: request.method,
-      path: request.path,
-      headers: protocol.composeHeaders(request, record.id, remainingMilliseconds),
-      body: request.body,
-      deadline: request.deadline,
-      cancelled: request.cancelled,
-      answerBufferBytes,
-      closeConnection: false,
-      mayWrite: () => this.#canStillUse(record)
-    })
-  }
-
-  /** Checks again before the request is written: the upstream may have begun to leave while the connection opened. */
-  #canStillUse ({ id, service, domain }: UpstreamRecord): boolean {
-    const { known } = this.#options
-    return !known.isEvacuated(domain) && known.listReady(service).some(({ record }) => record.id === id)
-  }
-
-  #handleAnswer (request: EntryRequest, progress: RequestProgress, record: UpstreamRecord, answer: ExchangeAnswer): RelayAnswer | undefined {
+  #handleAnswer (request: EntryRequest, progress: RequestProgress, record: UpstreamRecord, { answer, kind }: ClassifiedAnswer): RelayAnswer | undefined {
     const { protocol, loads, known } = this.#options
     const load = loads.get(record.id)
     const now = performance.now()
     const report = protocol.readLoad(answer)
     if (report !== undefined) load.recordReport(report, now)
-    const kind = protocol.classifyAnswer(request, answer)
     if (kind === AnswerKind.Own) {
       load.recordSuccess(now)
-      loads.warmObjects.recordHandled(getPlacementKey(request), record.id, now)
+      loads.warmObjects.recordHandled(this.#getPlacementKey(request, progress), record.id, now)
       progress.sendCount += 1
       const { status, headers, body, endsWithConnection } = answer
       return { outcome: Outcome.Ran, reason: undefined, status, headers, body, endsWithConnection, pool: undefined }
@@ -206,7 +181,7 @@
   }
 
   #handleFailure (progress: RequestProgress, record: UpstreamRecord, error: ExchangeError): RelayAnswer | undefined {
-    const { loads, crashes } = this.#options
+    const { loads } = this.#options
     progress.cause = String(error.cause)
     if (error.failure === ExchangeFailure.Cancelled) return answerFailedExchange(error)
     if (error.failure !== ExchangeFailure.Forbidden) loads.get(record.id).recordFailure(performance.now())
@@ -218,7 +193,6 @@
     progress.sendCount += 1
     progress.recordLostAnswer(error.failure === ExchangeFailure.TimedOut ? RefusalReason.DeadlinePassed : RefusalReason.AnswerLost)
     if (error.failure === ExchangeFailure.TimedOut) return answerUnknown(RefusalReason.DeadlinePassed)
-    crashes.checkUpstream(progress.fingerprint, record)
     return undefined
   }
 
@@ -236,6 +210,15 @@
     return progress.mayHaveRun ? answerUnknown(progress.lostReason) : refuse(reason)
   }
 
+  /**
+   * @returns the key that determines the order of upstreams for a request. Copies of a request that has not run completely
+   * yet have the same order at all hosts, so that one that ends upstreams does not end several at once.
+   */
+  #getPlacementKey ({ id, route, objectKey }: EntryRequest, { fingerprint }: RequestProgress): string {
+    if (route.sticky && objectKey !== undefined) return `${route.name}|${objectKey}`
+    return this.#options.runs.isProven(fingerprint) ? id : fingerprint
+  }
+
   #getRetryShare (service: string): RetryShare {
     let retryShare = this.#retrySharesByService.get(service)
     if (retryShare === undefined) {
@@ -250,8 +233,3 @@
 function discard ({ body }: ExchangeAnswer): void {
   if (!Buffer.isBuffer(body)) body.destroy()
 }
-
-/** @returns the key that determines the order of upstreams for a request */
-function getPlacementKey ({ id, route, objectKey }: EntryRequest): string {
-  return route.sticky && objectKey !== undefined ? `${route.name}|${objectKey}` : id
-}
--- /dev/null
+++ b/src/entry/UpstreamRuns.ts
@@ -0,0 +1,74 @@
+import { getIncarnation, type UpstreamRecord } from '../registry/UpstreamRecord.js'
+import { RecentMap } from '../utils/RecentMap.js'
+
+/** Time during which a run without a whole answer counts as a possible cause when its upstream turns out to have ended. */
+const RETENTION_MILLISECONDS = 5_000
+/** Time during which a request that ran completely counts as harmless. */
+const PROVEN_MILLISECONDS = 600_000
+const MINIMUM_PROVEN_FINGERPRINTS = 10_000
+
+/** One run of a request at an upstream. */
+export interface UpstreamRun {
+  readonly fingerprint: string
+  readonly record: UpstreamRecord
+  readonly startedAt: number
+  /** Whether this host still waits for the answer. */
+  isInFlight: boolean
+}
+
+/** Runs of this host's requests at upstreams that are in flight, or ended lately without a whole answer. */
+export class UpstreamRuns {
+  readonly #runs = new Set<UpstreamRun>()
+  readonly #runsByFingerprint = new Map<string, Set<UpstreamRun>>()
+  readonly #provenUntil = new RecentMap<number>(MINIMUM_PROVEN_FINGERPRINTS)
+
+  /** Records that a request is sent to an upstream. */
+  begin (fingerprint: string, record: UpstreamRecord): UpstreamRun {
+    const run: UpstreamRun = { fingerprint, record, startedAt: performance.now(), isInFlight: true }
+    this.#runs.add(run)
+    const copies = this.#runsByFingerprint.get(fingerprint)
+    if (copies === undefined) this.#runsByFingerprint.set(fingerprint, new Set([run]))
+    else copies.add(run)
+    return run
+  }
+
+  /** Removes a run that certainly did not take place. */
+  discard (run: UpstreamRun): void {
+    this.#runs.delete(run)
+    const copies = this.#runsByFingerprint.get(run.fingerprint)
+    copies?.delete(run)
+    if (copies?.size === 0) this.#runsByFingerprint.delete(run.fingerprint)
+  }
+
+  /** Records that the whole answer of a run arrived. */
+  complete (run: UpstreamRun): void {
+    this.discard(run)
+    this.#provenUntil.set(run.fingerprint, performance.now() + PROVEN_MILLISECONDS)
+  }
+
+  /** Records that this host no longer waits for a run, though it may go on. */
+  abandon (run: UpstreamRun): void {
+    run.isInFlight = false
+    setTimeout(() => { this.discard(run) }, RETENTION_MILLISECONDS).unref()
+  }
+
+  /** @returns whether the request ran completely lately */
+  isProven (fingerprint: string): boolean {
+    return (this.#provenUntil.get(fingerprint) ?? Number.NEGATIVE_INFINITY) > performance.now()
+  }
+
+  /** @returns all runs without a whole answer */
+  list (): UpstreamRun[] {
+    return [...this.#runs]
+  }
+
+  /** @returns the runs of one request without a whole answer */
+  listCopies (fingerprint: string): UpstreamRun[] {
+    return [...this.#runsByFingerprint.get(fingerprint) ?? []]
+  }
+
+  /** @returns fingerprints of the requests that an upstream process may be running */
+  listFingerprints (incarnation: string): Set<string> {
+    return new Set(this.list().filter(({ record }) => getIncarnation(record) === incarnation).map(({ fingerprint }) => fingerprint))
+  }
+}
--- /dev/null
+++ b/src/entry/UpstreamSender.ts
@@ -0,0 +1,141 @@
+import type { CrashTable } from '../crashes/CrashTable.js'
+import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
+import type { KnownState } from '../follow/KnownState.js'
+import type { Log } from '../observe/Log.js'
+import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
+import { exchange, type ExchangeAnswer } from '../relay/exchange.js'
+import { Step } from '../types/Step.js'
+import type { CrashDetector } from './CrashDetector.js'
+import type { EntryRequest } from './EntryRequest.js'
+import type { UpstreamConnections } from './UpstreamConnections.js'
+import type { UpstreamLoads } from './UpstreamLoads.js'
+import { AnswerKind, type UpstreamProtocol } from './UpstreamProtocol.js'
+import type { UpstreamRun, UpstreamRuns } from './UpstreamRuns.js'
+
+/** Dependencies of {@link UpstreamSender}. */
+export interface UpstreamSenderOptions {
+  known: KnownState
+  loads: UpstreamLoads
+  connections: Pick<UpstreamConnections, 'to'>
+  protocol: UpstreamProtocol
+  runs: UpstreamRuns
+  crashes: CrashTable
+  detector: CrashDetector
+  /** Called after a request was excused in the crash table. */
+  onExcuse: () => void
+  answerBufferBytes: number
+  log: Log
+}
+
+/** One attempt of a request at one upstream. */
+export interface UpstreamAttempt {
+  request: EntryRequest
+  fingerprint: string
+  record: UpstreamRecord
+  /** Called when the attempt is over and the end of its upstream, if it ended, is recorded. */
+  onSettled: () => void
+}
+
+/** An answer with its meaning. */
+export interface ClassifiedAnswer {
+  answer: ExchangeAnswer
+  kind: AnswerKind
+}
+
+/** Sends requests to upstreams, and records how each attempt ended. */
+export class UpstreamSender {
+  readonly #options: UpstreamSenderOptions
+
+  /** @param options - known state, connections, protocol and crash detection */
+  constructor (options: UpstreamSenderOptions) {
+    this.#options = options
+  }
+
+  /**
+   * Sends a request to an upstream. After a broken connection it rejects only when it is known whether the upstream ended.
+   *
+   * @param attempt - request and upstream
+   * @returns the upstream's answer
+   * @throws {@link ExchangeError} when no complete answer, or no beginning of a large one, arrived in time
+   */
+  async send (attempt: UpstreamAttempt): Promise<ClassifiedAnswer> {
+    const { loads, runs, protocol } = this.#options
+    const { request, record } = attempt
+    const load = loads.get(record.id)
+    const run = runs.begin(attempt.fingerprint, record)
+    load.start()
+    try {
+      const answer = await this.#exchange(request, record)
+      const kind = protocol.classifyAnswer(request, answer)
+      this.#settleAfter(answer.finished.then(async (failure) => {
+        load.end()
+        await this.#settleAnswer(run, kind, failure)
+      }), attempt)
+      return { answer, kind }
+    } catch (error) {
+      load.end()
+      const settled = this.#settleFailure(run, error)
+      this.#settleAfter(settled, attempt)
+      // The guest's time is over after a timeout or when it left; only a broken connection leads to another attempt.
+      if (error instanceof ExchangeError && error.failure === ExchangeFailure.Broken) await settled.catch(() => {})
+      throw error
+    }
+  }
+
+  #settleAfter (settled: Promise<void>, { record, onSettled }: UpstreamAttempt): void {
+    settled
+      .catch((error: unknown) => { this.#options.log.warn('crash-check-failed', { step: Step.Dispatch, peer: record.address, cause: String(error) }) })
+      .finally(onSettled)
+  }
+
+  #exchange (request: EntryRequest, record: UpstreamRecord): Promise<ExchangeAnswer> {
+    const { connections, protocol, answerBufferBytes } = this.#options
+    const remainingMilliseconds = Math.max(1, Math.floor(request.deadline - performance.now()))
+    return exchange(connections.to(record), {
+      peer: record.address,
+      method: request.method,
+      path: request.path,
+      headers: protocol.composeHeaders(request, record.id, remainingMilliseconds),
+      body: request.body,
+      deadline: request.deadline,
+      cancelled: request.cancelled,
+      answerBufferBytes,
+      closeConnection: false,
+      mayWrite: () => this.#canStillUse(record)
+    })
+  }
+
+  /** Checks again before the request is written: the upstream may have begun to leave while the connection opened. */
+  #canStillUse ({ id, service, domain }: UpstreamRecord): boolean {
+    const { known } = this.#options
+    return !known.isEvacuated(domain) && known.listReady(service).some(({ record }) => record.id === id)
+  }
+
+  async #settleAnswer (run: UpstreamRun, kind: AnswerKind, failure: ExchangeFailure | undefined): Promise<void> {
+    const { runs, detector } = this.#options
+    if (failure === undefined) detector.recordAlive(run.record)
+    if (kind === AnswerKind.NotRun || kind === AnswerKind.OtherUpstream) return runs.discard(run)
+    if (kind === AnswerKind.Own && failure === undefined) return this.#recordSuccess(run)
+    runs.abandon(run)
+    if (failure === ExchangeFailure.Broken) await detector.checkUpstream(run.record)
+  }
+
+  #recordSuccess (run: UpstreamRun): void {
+    const { runs, crashes, onExcuse } = this.#options
+    runs.complete(run)
+    if (crashes.countLosses(run.fingerprint) === 0) return
+    crashes.excuse(run.fingerprint)
+    onExcuse()
+  }
+
+  async #settleFailure (run: UpstreamRun, error: unknown): Promise<void> {
+    const { runs, detector } = this.#options
+    if (!(error instanceof ExchangeError) || !error.written) {
+      runs.discard(run)
+      if (error instanceof ExchangeError && error.failure === ExchangeFailure.Unreachable) detector.recordUnreachable(run.record)
+      return
+    }
+    runs.abandon(run)
+    await detector.checkUpstream(run.record)
+  }
+}
--- a/src/follow/ControlFollower.ts
+++ b/src/follow/ControlFollower.ts
@@ -1,6 +1,6 @@
+import type { CrashReport } from '../crashes/CrashReport.js'
 import type { Log } from '../observe/Log.js'
 import type { EntryHost } from '../registry/EntryHost.js'
-import type { PoisonRecord } from '../relay/PoisonGuard.js'
 import type { CallPeer } from '../transport/CallPeer.js'
 import { PeerMethod } from '../types/PeerMethod.js'
 import { Step } from '../types/Step.js'
@@ -31,10 +31,12 @@
   seeds: () => string[]
   describeHost: () => EntryHost
   known: KnownState
-  /** @returns losses to report, removed from the list of unreported losses */
-  takeLosses: () => PoisonRecord[]
-  putLossesBack: (records: PoisonRecord[]) => void
-  onLosses: (records: PoisonRecord[]) => void
+  /** Receives what a control host knows of upstreams that ended. */
+  onCrashes: (report: CrashReport, address: string) => void
+  /** Called when a control host answers that knows nothing of what this host told it before. */
+  onNewFeed: (address: string) => void
+  /** Called after the state of upstreams was updated. */
+  onUpstreams: () => void
   onPlan: () => void
   callPeer: CallPeer
   random: () => number
@@ -68,6 +70,16 @@
     return performance.now() - this.#lastCurrentReplyAt
   }
 
+  /** Peer address of the control host that is followed, undefined during a search. */
+  get followedAddress (): string | undefined {
+    return this.#followedAddress
+  }
+
+  /** @returns peer addresses of all known control hosts */
+  listControlHosts (): string[] {
+    return this.#ranking.listAddresses()
+  }
+
   /** Follows control hosts until {@link stop}. */
   async run (): Promise<void> {
     this.#isRunning = true
@@ -85,7 +97,7 @@
   /** Reports the state of this host to the followed control host at once, as before a planned stop. A failure is only logged. */
   async report (): Promise<void> {
     if (this.#followedAddress === undefined) return
-    const request: FollowRequest = { entryHost: this.#options.describeHost(), position: this.#getPosition(this.#followedAddress), waitMilliseconds: 0, losses: [] }
+    const request: FollowRequest = { entryHost: this.#options.describeHost(), position: this.#getPosition(this.#followedAddress), waitMilliseconds: 0 }
     try {
       await this.#options.callPeer<FollowReply>(this.#followedAddress, PeerMethod.Follow, request, ANSWER_TIMEOUT_MILLISECONDS)
     } catch (error) {
@@ -94,26 +106,25 @@
   }
 
   async #follow (address: string): Promise<void> {
-    const { describeHost, callPeer, takeLosses, putLossesBack } = this.#options
-    const losses = takeLosses()
-    const request: FollowRequest = { entryHost: describeHost(), position: this.#getPosition(address), waitMilliseconds: LONG_POLL_MILLISECONDS, losses }
+    const { describeHost, callPeer } = this.#options
+    const request: FollowRequest = { entryHost: describeHost(), position: this.#getPosition(address), waitMilliseconds: LONG_POLL_MILLISECONDS }
     const timeout = this.#lastAnsweredAddress === address ? LONG_POLL_MILLISECONDS + ANSWER_TIMEOUT_MILLISECONDS : FIRST_ANSWER_TIMEOUT_MILLISECONDS
     try {
       this.#applyReply(address, await callPeer<FollowReply>(address, PeerMethod.Follow, request, timeout))
     } catch (error) {
-      putLossesBack(losses)
       this.#abandon(address, String(error))
     }
   }
 
   #applyReply (address: string, reply: FollowReply): void {
-    const { known, onPlan, onLosses, log } = this.#options
+    const { known, onPlan, onCrashes, onUpstreams, log } = this.#options
     if (this.#lastAnsweredAddress !== address) log.info('control-host-followed', { step: Step.Follow, peer: address, plan: reply.position.planVersion, current: reply.isCurrent, upstreams: reply.upstreams.length, complete: reply.isComplete })
     this.#lastAnsweredAddress = address
     this.#recordPosition(address, reply.position)
     this.#ranking.updateControlHosts(reply.controlHosts)
-    if (reply.losses.length > 0) onLosses(reply.losses)
     if (known.merge(reply)) onPlan()
+    if (reply.upstreams.length > 0) onUpstreams()
+    onCrashes(reply.crashes, address)
     // A control host may report itself as current until its leader contacts it; a newer plan known here proves that it is behind.
     const isCurrent = reply.isCurrent && this.#isPlanCurrent(reply.position)
     if (isCurrent) this.#recordCurrent(address)
@@ -175,13 +186,14 @@
 
   #recordPosition (address: string, position: FeedPosition): void {
     const previous = this.#positionsByAddress.get(address)
+    if (previous?.feed !== position.feed) this.#options.onNewFeed(address)
     if (previous !== undefined && previous.feed !== position.feed) this.#options.known.discardFeed(previous.feed)
     this.#positionsByAddress.set(address, position)
   }
 
   #getPosition (address: string): FeedPosition {
     const { plan, evacuationRevision } = this.#options.known
-    const position = this.#positionsByAddress.get(address) ?? { feed: '', revision: 0, lossRevision: 0 }
+    const position = this.#positionsByAddress.get(address) ?? { feed: '', revision: 0, crashRevision: 0 }
     return { ...position, planVersion: plan?.version ?? 0, evacuationRevision }
   }
 }
--- a/src/follow/ControlHostRanking.ts
+++ b/src/follow/ControlHostRanking.ts
@@ -38,9 +38,14 @@
     this.#failedAtByAddress.delete(address)
   }
 
+  /** @returns addresses of all known control hosts, in no particular order */
+  listAddresses (): string[] {
+    return [...new Set([...this.#controlHosts.map(({ peerAddress }) => peerAddress), ...this.#options.seeds()])]
+  }
+
   /** @returns all addresses: those that failed recently last, near ones first, equally near ones in random order */
   rank (): string[] {
-    return this.#listAddresses()
+    return this.listAddresses()
       .map((address) => ({ address, failureRank: Number(this.#hasFailedRecently(address)), distance: this.#getDistance(address), tieBreaker: this.#options.random() }))
       .sort((left, right) => left.failureRank - right.failureRank || left.distance - right.distance || left.tieBreaker - right.tieBreaker)
       .map(({ address }) => address)
@@ -56,10 +61,6 @@
     return performance.now() - (this.#failedAtByAddress.get(address) ?? Number.NEGATIVE_INFINITY) <= FAILURE_PENALTY_MILLISECONDS
   }
 
-  #listAddresses (): string[] {
-    return [...new Set([...this.#controlHosts.map(({ peerAddress }) => peerAddress), ...this.#options.seeds()])]
-  }
-
   /** @returns 0 in the failure domain of this host, 1 in its region, 2 elsewhere or at an unknown location */
   #getDistance (address: string): number {
     const local = this.#options.locateSelf()
--- a/src/follow/FollowMessages.ts
+++ b/src/follow/FollowMessages.ts
@@ -1,9 +1,9 @@
+import type { CrashReport } from '../crashes/CrashReport.js'
 import type { PlanDelta } from '../plan/PlanDelta.js'
 import type { RoutingPlan } from '../plan/RoutingPlan.js'
 import type { ControlHost } from '../registry/ControlHost.js'
 import type { EntryHost, RegionDemand } from '../registry/EntryHost.js'
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
-import type { PoisonRecord } from '../relay/PoisonGuard.js'
 
 /** Revisions up to which an entry host has received the feed of one control host. */
 export interface FeedPosition {
@@ -11,8 +11,8 @@
   feed: string
   /** Revision of the table of upstreams. */
   revision: number
-  /** Revision of the table of requests that killed upstreams. */
-  lossRevision: number
+  /** Revision of the table of requests under which upstreams ended. */
+  crashRevision: number
   /** Version of the newest plan known, from any control host: they share the replicated log of plans. */
   planVersion: number
   /** Revision of the newest evacuations known, also from any control host. */
@@ -25,8 +25,6 @@
   position: FeedPosition
   /** Maximum wait for a change. */
   waitMilliseconds: number
-  /** Requests that killed upstreams, seen since the last call. */
-  losses: PoisonRecord[]
 }
 
 /** An upstream as a control host knows it. */
@@ -54,7 +52,7 @@
   demand: RegionDemand
   /** All control hosts. */
   controlHosts: ControlHost[]
-  losses: PoisonRecord[]
+  crashes: CrashReport
 }
 
 /** Tells whether a control host is up to date, so that it can be followed. */
--- a/src/follow/StateFeed.ts
+++ b/src/follow/StateFeed.ts
@@ -1,4 +1,4 @@
-import type { Log } from '../observe/Log.js'
+import type { CrashTable } from '../crashes/CrashTable.js'
 import type { PlanSource } from '../plan/PlanSource.js'
 import type { RoutingPlan } from '../plan/RoutingPlan.js'
 import type { ControlHost } from '../registry/ControlHost.js'
@@ -10,9 +10,7 @@
 import { HibiscusrelayError } from '../errors/HibiscusrelayError.js'
 import { PeerMethod } from '../types/PeerMethod.js'
 import { Step } from '../types/Step.js'
-import { abbreviateFingerprint } from '../utils/abbreviateFingerprint.js'
 import type { CurrencyReply, FeedPosition, FollowedUpstream, FollowReply, FollowRequest } from './FollowMessages.js'
-import type { LossTable } from './LossTable.js'
 import { PlanHistory } from './PlanHistory.js'
 
 /** Changes within this time are sent together: upstreams of a service often change in groups. */
@@ -27,11 +25,10 @@
   plans: PlanSource
   upstreams: UpstreamTable
   entryHosts: EntryHostTable
-  losses: LossTable
+  crashes: CrashTable
   isCurrent: () => boolean
   listControlHosts: () => ControlHost[]
   registerHandler: RegisterPeerHandler
-  log: Log
 }
 
 /** Answers follow requests of entry hosts with the changes since their position. */
@@ -76,24 +73,20 @@
   }
 
   async #handleFollow (request: FollowRequest): Promise<FollowReply> {
-    const { entryHosts, losses } = this.#options
+    const { entryHosts } = this.#options
     if (!this.#isOpen) throw new HibiscusrelayError(errorTexts.feedNotReady(), { step: Step.Follow, peer: request.entryHost.name })
     entryHosts.recordReport(request.entryHost)
     this.#reportedAtByName.set(request.entryHost.name, performance.now())
-    if (losses.merge(request.losses)) {
-      this.#options.log.info('crashes-learned', { step: Step.Follow, peer: request.entryHost.name, contents: request.losses.map(({ fingerprint }) => abbreviateFingerprint(fingerprint)).join(',') })
-      this.notifyChange()
-    }
     if (!this.#hasChanges(request.position)) await this.#waitForChange(request.waitMilliseconds)
     return this.#describeChanges(request.position)
   }
 
   #hasChanges (position: FeedPosition): boolean {
-    const { feed, plans, upstreams, losses } = this.#options
+    const { feed, plans, upstreams, crashes } = this.#options
     if (position.feed !== feed) return true
     if (position.planVersion < (plans.plan?.version ?? 0)) return true
     if (position.evacuationRevision < plans.evacuationRevision) return true
-    return position.revision < upstreams.revision || position.lossRevision < losses.revision
+    return position.revision < upstreams.revision || position.crashRevision < crashes.revision
   }
 
   async #waitForChange (milliseconds: number): Promise<void> {
@@ -109,11 +102,11 @@
   }
 
   #describeChanges (position: FeedPosition): FollowReply {
-    const { feed, plans, upstreams, losses } = this.#options
+    const { feed, plans, upstreams, crashes } = this.#options
     const isComplete = position.feed !== feed
     const { plan, evacuationRevision } = plans
     return {
-      position: { feed, revision: upstreams.revision, lossRevision: losses.revision, planVersion: plan?.version ?? 0, evacuationRevision },
+      position: { feed, revision: upstreams.revision, crashRevision: crashes.revision, planVersion: plan?.version ?? 0, evacuationRevision },
       ...this.#describePlan(plan, position.planVersion),
       evacuated: evacuationRevision > position.evacuationRevision ? plans.evacuated : undefined,
       upstreams: upstreams.changedSince(isComplete ? 0 : position.revision).map(describeUpstream),
@@ -122,7 +115,7 @@
       entryHosts: this.#options.entryHosts.count,
       demand: this.#options.entryHosts.sumDemand(),
       controlHosts: this.#options.listControlHosts(),
-      losses: losses.changedSince(isComplete ? 0 : position.lossRevision)
+      crashes: crashes.changedSince(isComplete ? 0 : position.crashRevision)
     }
   }
 
--- a/src/hibiscusrelay.ts
+++ b/src/hibiscusrelay.ts
@@ -104,7 +104,8 @@
 
 // Control hosts: replicas of plans, the registry of upstreams, and the state that entry hosts follow.
 export { chooseRepair, RepairKind, type Repair } from './control/chooseRepair.js'
-export { ControlHostProcess, type ControlHostOptions, type ControlHostSettings } from './control/ControlHostProcess.js'
+export type { ControlHostOptions, ControlHostSettings } from './control/ControlHostOptions.js'
+export { ControlHostProcess } from './control/ControlHostProcess.js'
 export { ControlFollower, type ControlFollowerOptions } from './follow/ControlFollower.js'
 export type { FeedPosition, FollowReply, FollowRequest } from './follow/FollowMessages.js'
 export { KnownState } from './follow/KnownState.js'
--- a/src/registry/UpstreamTable.ts
+++ b/src/registry/UpstreamTable.ts
@@ -41,6 +41,12 @@
     return this.#entriesById.get(id)
   }
 
+  /** @returns whether the upstream was started again since, or a later one uses its address */
+  isReplaced (record: UpstreamRecord): boolean {
+    const latest = this.#entriesById.get(record.id)?.record
+    return (latest !== undefined && latest.bornAt > record.bornAt) || this.#isSuperseded(record)
+  }
+
   /** @returns all entries, also of upstreams that are gone */
   list (): UpstreamEntry[] {
     return [...this.#entriesById.values()]
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -13,13 +13,13 @@
 export class AnswerCollector implements Dispatcher.DispatchHandler {
   readonly answer: Promise<ExchangeAnswer>
   readonly #request: ExchangeRequest
-  readonly #finished: Promise<void>
+  readonly #finished: Promise<ExchangeFailure | undefined>
   readonly #timer: NodeJS.Timeout
   readonly #onCancelled = () => { this.#abort(ExchangeFailure.Cancelled) }
   readonly #chunks: Buffer[] = []
   #resolve!: (answer: ExchangeAnswer) => void
   #reject!: (error: ExchangeError) => void
-  #resolveFinished!: () => void
+  #resolveFinished!: (failure: ExchangeFailure | undefined) => void
   #controller: Dispatcher.DispatchController | undefined
   #failure: ExchangeFailure | undefined
   #isWritten = false
@@ -71,7 +71,7 @@
   }
 
   onResponseEnd (): void {
-    this.#markEnded()
+    this.#markEnded(undefined)
     if (this.#stream !== undefined) {
       this.#stream.end()
       return
@@ -81,8 +81,9 @@
 
   onResponseError (_controller: Dispatcher.DispatchController | null, cause: Error): void {
     if (this.#hasEnded) return
-    this.#markEnded()
-    const error = new ExchangeError(this.#failure ?? classifyError(cause, this.#isWritten), this.#request.peer, this.#isWritten, cause)
+    const failure = this.#failure ?? classifyError(cause, this.#isWritten)
+    this.#markEnded(failure)
+    const error = new ExchangeError(failure, this.#request.peer, this.#isWritten, cause)
     this.#stream?.destroy(error)
     this.#reject(error)
   }
@@ -113,11 +114,11 @@
     else this.onResponseError(null, cause)
   }
 
-  #markEnded (): void {
+  #markEnded (failure: ExchangeFailure | undefined): void {
     this.#hasEnded = true
     clearTimeout(this.#timer)
     this.#request.cancelled.removeEventListener('abort', this.#onCancelled)
-    this.#resolveFinished()
+    this.#resolveFinished(failure)
   }
 }
 
--- a/src/relay/Owner.ts
+++ b/src/relay/Owner.ts
@@ -137,7 +137,7 @@
     }
   }
 
-  #releaseAfter (finished: Promise<void>, pool: UpstreamPool, upstream: Upstream, request: RelayedRequest, isSuspect: boolean, startedAt: number): void {
+  #releaseAfter (finished: Promise<unknown>, pool: UpstreamPool, upstream: Upstream, request: RelayedRequest, isSuspect: boolean, startedAt: number): void {
     finished.then(() => {
       upstream.inFlight.delete(request)
       upstream.lastEndedAt = performance.now()
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from 'undici'
+import type { ExchangeFailure } from '../errors/ExchangeError.js'
 import { AnswerCollector } from './AnswerCollector.js'
 import type { Readable } from 'node:stream'
 import type { HeaderField } from './RelayedRequest.js'
@@ -30,8 +31,8 @@
   body: Buffer | Readable
   /** Whether the end of the connection delimits the body, so that a truncated body looks like a complete one. */
   endsWithConnection: boolean
-  /** Resolves when the last byte of the answer has arrived or the connection is closed. */
-  finished: Promise<void>
+  /** Resolves with undefined when the last byte of the answer has arrived, or with the failure that ended it before. */
+  finished: Promise<ExchangeFailure | undefined>
 }
 
 /**
--- a/src/types/PeerMethod.ts
+++ b/src/types/PeerMethod.ts
@@ -27,6 +27,8 @@
   Follow = 'control.follow',
   /** Asks whether a control host has the newest plan. */
   AskCurrency = 'control.ask-currency',
+  /** Reports requests under which upstreams ended. */
+  ReportCrashes = 'control.report-crashes',
   ShareRegistry = 'control.share-registry',
   FetchRegistry = 'control.fetch-registry'
 }
--- a/src/types/RefusalReason.ts
+++ b/src/types/RefusalReason.ts
@@ -31,6 +31,8 @@
   UpstreamUnreachable = 'upstream-unreachable',
   AnswerLost = 'answer-lost',
   Poison = 'poison',
+  /** An upstream ended under the request, and a copy of it runs now or too little is known yet. */
+  SuspectWaiting = 'suspect-waiting',
   Cancelled = 'cancelled',
   TicketMissing = 'ticket-missing',
   TicketInvalid = 'ticket-invalid',
