Refuse records of upstreams that no host can use

Callers got closed connections without an answer (TypeError: Invalid URL) after one announcement with a port out of range: the control host accepted it, and each entry host failed when it was to connect there. A port of 0, slots of 2^53, a cold time of 1e300 s and a start in the far future, which hides the later upstreams at its address, were accepted as well.

--- a/__tests__/registry/UpstreamTable.test.ts
+++ b/__tests__/registry/UpstreamTable.test.ts
@@ -106,3 +106,10 @@
   table.merge(createWatchedRecord(100))
   assert.ok(addressReads < 10, `${addressReads} reads of addresses`)
 })
+
+test('a record with an unusable address or number is not merged, whichever host it comes from', () => {
+  const table = new UpstreamTable({ lostMilliseconds: 3_000 })
+  const oddFields = [{ address: '127.0.0.1:99999' }, { address: '' }, { slots: Number.MAX_SAFE_INTEGER }, { coldMilliseconds: 1e303 }, { coldMilliseconds: Number.NaN }, { bornAt: Number.MAX_SAFE_INTEGER }]
+  for (const fields of oddFields) assert.equal(table.merge(createUpstreamRecord(fields)), false, JSON.stringify(fields))
+  assert.deepEqual(table.list(), [])
+})
--- a/src/hibiscusrelay.ts
+++ b/src/hibiscusrelay.ts
@@ -112,6 +112,7 @@
 export { EntryHostTable } from './registry/EntryHostTable.js'
 export type { EntryHost } from './registry/EntryHost.js'
 export { AnnouncementResult, UpstreamRegistry } from './registry/UpstreamRegistry.js'
+export { isUsableUpstream } from './registry/isUsableUpstream.js'
 export { UpstreamReadiness, type UpstreamRecord } from './registry/UpstreamRecord.js'
 export { UpstreamTable } from './registry/UpstreamTable.js'
 
--- a/src/registry/UpstreamTable.ts
+++ b/src/registry/UpstreamTable.ts
@@ -1,3 +1,4 @@
+import { isUsableUpstream } from './isUsableUpstream.js'
 import type { UpstreamEntry } from './UpstreamEntry.js'
 import { isGone, isNewer, UpstreamReadiness, type UpstreamRecord } from './UpstreamRecord.js'
 
@@ -58,13 +59,14 @@
   }
 
   /**
-   * Merges a record; an older one, or one whose address a later upstream uses, is ignored.
+   * Merges a record; an unusable or older one, or one whose address a later upstream uses, is ignored.
    *
    * @param record - state that the upstream announced
    * @param ageMilliseconds - time since the upstream sent it, as far as known
    * @returns whether it changed anything that followers need to know
    */
   merge (record: UpstreamRecord, ageMilliseconds = 0): boolean {
+    if (!isUsableUpstream(record)) return false
     const now = performance.now()
     const known = this.#entriesById.get(record.id)
     if (known !== undefined && !isNewer(record, known.record)) return false
