Close a connection on which an upstream refused a request

Guests were told 'not run' for a request that an upstream was running when a faulty upstream wrote its earlier refusal once more on a kept connection: refusals may carry no identifier, and one request may be sent to the same upstream again under the same identifier. Such a request also ran at a second upstream.

Class: an answer that is matched to a request by its place on a connection. After a refusal the connection is closed at its head, so that nothing that follows on it reaches another sending. It costs one connection a refusal.

--- a/__performance_tests__/placement/ModelDay.ts
+++ b/__performance_tests__/placement/ModelDay.ts
@@ -114,7 +114,7 @@
       for (let number = 0; number < count; number += 1) {
         const id = `${service.name}-${domain}-${number}-${this.#settings.seed}`
         this.#network.upstreams.set(id, new ModelUpstream({ slots: service.slots, queueLength: service.queueLength, warmObjects: service.warmObjects, warmTimeFactor: WARM_TIME_FACTOR }))
-        this.#upstreamRecords.push({ id, bornAt: 1, sequence: 1, service: service.name, address: id, domain: String(domain), slots: service.slots, readiness: UpstreamReadiness.Ready, coldMilliseconds: 0 })
+        this.#upstreamRecords.push({ id, bornAt: 1, sequence: 1, service: service.name, address: `127.0.0.1:${this.#upstreamRecords.length + 1}`, domain: String(domain), slots: service.slots, readiness: UpstreamReadiness.Ready, coldMilliseconds: 0 })
       }
     })
   }
--- a/__tests__/entry/UpstreamLoads.test.ts
+++ b/__tests__/entry/UpstreamLoads.test.ts
@@ -22,7 +22,7 @@
 /** @returns a host whose control host has lost one of two upstreams, as in a network partition */
 function createPartitionedHost (): { known: KnownState, loads: UpstreamLoads } {
   const known = new KnownState()
-  const upstreams = ['i-1', 'i-2'].map((id, index) => ({ record: createUpstreamRecord({ id, address: `127.0.0.9:${index}` }), isLost: id === 'i-1' }))
+  const upstreams = ['i-1', 'i-2'].map((id, index) => ({ record: createUpstreamRecord({ id, address: `127.0.0.9:${index + 1}` }), isLost: id === 'i-1' }))
   known.merge(createFollowReply({ plan: createPlan(1), upstreams, isComplete: true, entryHosts: 1 }))
   return { known, loads: new UpstreamLoads(known) }
 }
--- a/__tests__/entry/createRelayFixture.ts
+++ b/__tests__/entry/createRelayFixture.ts
@@ -14,26 +14,29 @@
 
 const silentLog = { info: () => {}, warn: () => {}, error: () => {} }
 
+/** Connections to upstreams, and their end. */
+export type UpstreamConnectionPools = Pick<UpstreamConnections, 'to' | 'destroy'>
+
 /** A relay with its known state and its connections. */
 export interface RelayFixture extends SenderParts {
   relay: EntryRelay
   known: KnownState
-  connections: UpstreamConnections
+  connections: UpstreamConnectionPools
 }
 
 /**
  * @param addresses - addresses of the upstreams of its only service
  * @param routeOverrides - fields of its only route that differ from the default
  * @param options - options of the relay that differ from the default
+ * @param connections - connections to the upstreams
  * @returns a relay that knows a plan and upstreams
  */
-export function createRelayFixture (addresses: string[], routeOverrides: Partial<PlanRoute> = {}, options: Partial<EntryRelayOptions> = {}): RelayFixture {
+export function createRelayFixture (addresses: string[], routeOverrides: Partial<PlanRoute> = {}, options: Partial<EntryRelayOptions> = {}, connections: UpstreamConnectionPools = new UpstreamConnections()): RelayFixture {
   const known = new KnownState()
   const upstreams = addresses.map((address, number) => ({ record: createUpstreamRecord({ id: `i-${number}`, address }), isLost: false }))
   known.merge(createFollowReply({ plan: createPlan(1, [createRoute(routeOverrides)]), upstreams, isComplete: true, entryHosts: 1 }))
   // KnownState reports an infinite number of entry hosts at first; a fixed number of 1 gives this host the full share of the retries.
   Object.defineProperty(known, 'entryHosts', { value: 1 })
-  const connections = new UpstreamConnections()
   const loads = new UpstreamLoads(known)
   const parts = createSender({ known, loads, connections, protocol: upstreamProtocol, answerBufferBytes: 1024 })
   const relay = new EntryRelay({
--- a/src/entry/UpstreamSender.ts
+++ b/src/entry/UpstreamSender.ts
@@ -101,6 +101,7 @@
       cancelled: request.cancelled,
       answerBufferBytes,
       closeConnection: false,
+      isHeadSufficient: (status, headers) => protocol.isRefusal(status, headers),
       mayWrite: () => this.#canStillUse(record)
     })
   }
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -7,6 +7,7 @@
 
 const UNREACHABLE_ERROR_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL'])
 
+const ANSWER_DISCARDED = 'the rest of the answer is not needed'
 const BODILESS_STATUSES = new Set([204, 304])
 
 /** Handles one exchange: records whether bytes were written, collects the answer and enforces the deadline. */
@@ -54,10 +55,11 @@
     this.#isWritten = true
   }
 
-  onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+  onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
     this.#status = status
     this.#headers = listHeaders(headers)
     this.#endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && !hasNoBody(this.#request.method, status)
+    if (this.#request.isHeadSufficient?.(status, this.#headers) === true) this.#endAtHead(controller)
   }
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -88,6 +90,13 @@
     this.#reject(error)
   }
 
+  /** Resolves without a body, and closes the connection: bytes that follow on it would reach the next request. */
+  #endAtHead (controller: Dispatcher.DispatchController): void {
+    this.#markEnded(undefined)
+    this.#resolve(this.#createAnswer(Buffer.alloc(0)))
+    controller.abort(new Error(ANSWER_DISCARDED))
+  }
+
   #beginStream (controller: Dispatcher.DispatchController): void {
     const stream = new PassThrough({ highWaterMark: this.#request.answerBufferBytes })
     stream.on('drain', () => { controller.resume() })
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -19,6 +19,8 @@
   answerBufferBytes: number
   /** Whether to close the connection after the answer. */
   closeConnection: boolean
+  /** Whether the head of an answer is all that is needed of it. Its connection is closed then; by default never. */
+  isHeadSufficient?: (status: number, headers: readonly HeaderField[]) => boolean
   /** Called right before the first byte is written; false prevents it. */
   mayWrite: () => boolean
 }
