Never write a request to an upstream twice within one attempt

The HTTP library can begin a request again on another connection when the first one ended in some ways. The exchange now fails as broken instead.

--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -48,6 +48,11 @@
     this.#controller = controller
     // Nothing was written yet: an error thrown here discards only the request; abort would also close the connection.
     if (this.#failure !== undefined || this.#hasEnded) throw new Error(this.#failure)
+    // The HTTP library may begin again on another connection after the first one ended; the request may have run.
+    if (this.#isWritten) {
+      this.#abort(ExchangeFailure.Broken)
+      return
+    }
     if (!this.#request.mayWrite()) {
       this.#abort(ExchangeFailure.Forbidden)
       return
