--- /dev/null
+++ b/__tests__/entry/CrashDetector.test.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { CrashTable } from '../../src/crashes/CrashTable.js'
+import { CrashDetector } from '../../src/entry/CrashDetector.js'
+import { UpstreamRuns } from '../../src/entry/UpstreamRuns.js'
+import { KnownState } from '../../src/follow/KnownState.js'
+import { UpstreamReadiness, type UpstreamRecord } from '../../src/registry/UpstreamRecord.js'
+import { ListenerState } from '../../src/utils/probeListener.js'
+import { createFollowReply } from '../follow/createFollowReply.js'
+import { createUpstreamRecord } from '../registry/createUpstreamRecord.js'
+
+const silentLog = { info: () => {}, warn: () => {}, error: () => {} }
+
+/** A detector with one run of the request `f` at an upstream, which connections find in the given states in turn. */
+function createDetector (...states: ListenerState[]): { detector: CrashDetector, crashes: CrashTable, known: KnownState, runs: UpstreamRuns, record: UpstreamRecord } {
+  const runs = new UpstreamRuns()
+  const crashes = new CrashTable()
+  const known = new KnownState()
+  const record = createUpstreamRecord()
+  known.merge(createFollowReply({ upstreams: [{ record, isLost: false }] }))
+  let probes = 0
+  const detector = new CrashDetector({ runs, crashes, known, probe: async () => states[Math.min(probes++, states.length - 1)]!, onChange: () => {}, log: silentLog })
+  runs.begin('f', record)
+  return { detector, crashes, known, runs, record }
+}
+
+test('an upstream that refuses connections has ended under its runs', async () => {
+  const { detector, crashes, record } = createDetector(ListenerState.Unreachable)
+  await detector.checkUpstream(record)
+  assert.equal(crashes.countLosses('f'), 1)
+})
+
+test('an upstream that is closing its sockets one after another has ended', async () => {
+  const { detector, crashes, record } = createDetector(ListenerState.ClosedEarly, ListenerState.ClosedEarly, ListenerState.Unreachable)
+  await detector.checkUpstream(record)
+  assert.equal(crashes.countLosses('f'), 1)
+})
+
+for (const state of [ListenerState.Open, ListenerState.ClosedEarly, ListenerState.Unknown]) {
+  test(`an upstream is not taken for ended when connections are ${state}`, async () => {
+    const { detector, crashes, record } = createDetector(state)
+    await detector.checkUpstream(record)
+    assert.equal(crashes.countLosses('f'), 0)
+  })
+}
+
+test('an upstream that announced that it leaves has not ended by a request', async () => {
+  const { detector, crashes, known, record } = createDetector(ListenerState.Unreachable)
+  known.merge(createFollowReply({ upstreams: [{ record: { ...record, sequence: 2, readiness: UpstreamReadiness.Draining }, isLost: false }] }))
+  await detector.checkUpstream(record)
+  assert.equal(crashes.countLosses('f'), 0)
+})
+
+test('a run that this host gave up is blamed when another start of its upstream is announced', async () => {
+  const { detector, crashes, known, runs, record } = createDetector(ListenerState.Open)
+  for (const run of runs.list()) runs.abandon(run)
+  known.merge(createFollowReply({ upstreams: [{ record: { ...record, bornAt: record.bornAt + 1 }, isLost: false }] }))
+  detector.review()
+  await detector.checkUpstream(record)
+  assert.equal(crashes.countLosses('f'), 1)
+})
+
+test('a host looks at an upstream of its own runs when another host could not reach it', async () => {
+  const { detector, crashes, record } = createDetector(ListenerState.Unreachable)
+  crashes.merge({ requests: [], unreachableUpstreams: [`${record.id}@${record.bornAt}`] })
+  detector.review()
+  await detector.checkUpstream(record)
+  assert.equal(crashes.countLosses('f'), 1)
+})
--- /dev/null
+++ b/__tests__/entry/SuspectGate.test.ts
@@ -0,0 +1,77 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { CrashTable } from '../../src/crashes/CrashTable.js'
+import { SuspectDesk, type SuspectPermitRequest } from '../../src/crashes/SuspectDesk.js'
+import { SuspectGate, type GatedRequest } from '../../src/entry/SuspectGate.js'
+import { RefusalReason } from '../../src/types/RefusalReason.js'
+import { advance, pauseClock } from '../support/pauseClock.js'
+
+const silentLog = { info: () => {}, warn: () => {}, error: () => {} }
+const SETTLE_MILLISECONDS = 300
+
+function createRequest (milliseconds = 2_000): GatedRequest {
+  return { fingerprint: 'f', deadline: performance.now() + milliseconds, cancelled: new AbortController().signal }
+}
+
+/** Gates of two entry hosts, and control hosts of which the first ones are silent. */
+function createGates (controlHosts: string[], silentHosts: string[] = []): { gates: SuspectGate[], tables: CrashTable[] } {
+  const desks = new Map(controlHosts.map((name) => [name, new SuspectDesk({ crashes: new CrashTable(), onChange: () => {} })]))
+  const tables = [new CrashTable(), new CrashTable()]
+  const gates = tables.map((crashes) => new SuspectGate({
+    crashes,
+    detector: { checkCopies: async () => {} },
+    listControlHosts: () => controlHosts,
+    callPeer: async <Result>(address: string, _method: string, request: object) => {
+      if (silentHosts.includes(address)) throw new Error('no answer')
+      return desks.get(address)!.answer(request as SuspectPermitRequest) as Result
+    },
+    log: silentLog
+  }))
+  return { gates, tables }
+}
+
+test('a request without losses passes at once, and one with three is refused', async (context) => {
+  pauseClock(context)
+  const { gates: [gate], tables: [table] } = createGates([])
+  assert.equal(typeof await gate!.enter(createRequest()), 'function')
+  for (const upstream of ['a@1', 'b@1', 'c@1']) table!.recordLoss(upstream, ['f'])
+  assert.equal(await gate!.enter(createRequest()), RefusalReason.Poison)
+})
+
+test('one copy of a suspect runs at a time over all hosts, and its loss is known before the next one runs', async (context) => {
+  pauseClock(context)
+  const { gates, tables } = createGates(['control-1', 'control-2'])
+  for (const table of tables) table.recordLoss('a@1', ['f'])
+  await advance(context, SETTLE_MILLISECONDS)
+  const leave = await gates[0]!.enter(createRequest())
+  assert.equal(typeof leave, 'function')
+  const second = gates[1]!.enter(createRequest(4_000))
+  tables[0]!.recordLoss('b@1', ['f'])
+  tables[0]!.recordLoss('c@1', ['f'])
+  if (typeof leave === 'function') leave()
+  await advance(context, 500)
+  assert.equal(await second, RefusalReason.Poison)
+})
+
+test('a suspect whose copy goes on running is refused as not run, in time to be sent again', async (context) => {
+  pauseClock(context)
+  const { gates, tables } = createGates(['control-1'])
+  for (const table of tables) table.recordLoss('a@1', ['f'])
+  await advance(context, SETTLE_MILLISECONDS)
+  await gates[0]!.enter(createRequest())
+  const refusal = gates[1]!.enter(createRequest(600))
+  await advance(context, 400)
+  assert.equal(await Promise.race([refusal, 'still waiting']), RefusalReason.SuspectWaiting)
+})
+
+test('a control host that does not answer is replaced by the next one for the permit', async (context) => {
+  pauseClock(context)
+  const controlHosts = ['control-1', 'control-2', 'control-3']
+  for (const silentHost of controlHosts) {
+    const { gates: [gate], tables: [table] } = createGates(controlHosts, [silentHost])
+    table!.recordLoss('a@1', ['f'])
+    const entered = gate!.enter(createRequest())
+    await advance(context, 800)
+    assert.equal(typeof await Promise.race([entered, RefusalReason.SuspectWaiting]), 'function')
+  }
+})
