Let hosts of this and of the earlier version follow each other

An entry host of the earlier version reads losses in each reply, and a control host of it in each request; both would have failed during an upgrade host by host. The field stays, always empty, and a reply without crashes is accepted. Such hosts do not exchange losses. Not run with a build of the earlier version.

--- a/__performance_tests__/placement/ModelDay.ts
+++ b/__performance_tests__/placement/ModelDay.ts
@@ -139,7 +139,8 @@
           entryHosts: this.#hosts.length,
           demand,
           controlHosts: [],
-          crashes: { requests: [], unreachableUpstreams: [] }
+          crashes: { requests: [], unreachableUpstreams: [] },
+          losses: []
         })
       }
     }, 1)
--- a/src/follow/ControlFollower.ts
+++ b/src/follow/ControlFollower.ts
@@ -97,7 +97,7 @@
   /** Reports the state of this host to the followed control host at once, as before a planned stop. A failure is only logged. */
   async report (): Promise<void> {
     if (this.#followedAddress === undefined) return
-    const request: FollowRequest = { entryHost: this.#options.describeHost(), position: this.#getPosition(this.#followedAddress), waitMilliseconds: 0 }
+    const request: FollowRequest = { entryHost: this.#options.describeHost(), position: this.#getPosition(this.#followedAddress), waitMilliseconds: 0, losses: [] }
     try {
       await this.#options.callPeer<FollowReply>(this.#followedAddress, PeerMethod.Follow, request, ANSWER_TIMEOUT_MILLISECONDS)
     } catch (error) {
@@ -107,7 +107,7 @@
 
   async #follow (address: string): Promise<void> {
     const { describeHost, callPeer } = this.#options
-    const request: FollowRequest = { entryHost: describeHost(), position: this.#getPosition(address), waitMilliseconds: LONG_POLL_MILLISECONDS }
+    const request: FollowRequest = { entryHost: describeHost(), position: this.#getPosition(address), waitMilliseconds: LONG_POLL_MILLISECONDS, losses: [] }
     const timeout = this.#lastAnsweredAddress === address ? LONG_POLL_MILLISECONDS + ANSWER_TIMEOUT_MILLISECONDS : FIRST_ANSWER_TIMEOUT_MILLISECONDS
     try {
       this.#applyReply(address, await callPeer<FollowReply>(address, PeerMethod.Follow, request, timeout))
@@ -124,7 +124,7 @@
     this.#ranking.updateControlHosts(reply.controlHosts)
     if (known.merge(reply)) onPlan()
     if (reply.upstreams.length > 0) onUpstreams()
-    onCrashes(reply.crashes, address)
+    if (reply.crashes !== undefined) onCrashes(reply.crashes, address)
     // A control host may report itself as current until its leader contacts it; a newer plan known here proves that it is behind.
     const isCurrent = reply.isCurrent && this.#isPlanCurrent(reply.position)
     if (isCurrent) this.#recordCurrent(address)
--- a/src/follow/FollowMessages.ts
+++ b/src/follow/FollowMessages.ts
@@ -25,6 +25,8 @@
   position: FeedPosition
   /** Maximum wait for a change. */
   waitMilliseconds: number
+  /** Always empty; hosts of version 0.1.0 before the exchange of crashes need the field. */
+  losses: []
 }
 
 /** An upstream as a control host knows it. */
@@ -52,7 +54,10 @@
   demand: RegionDemand
   /** All control hosts. */
   controlHosts: ControlHost[]
-  crashes: CrashReport
+  /** What the control host knows of upstreams that ended; absent from hosts of version 0.1.0 before the exchange of crashes. */
+  crashes?: CrashReport
+  /** Always empty, for those hosts. */
+  losses: []
 }
 
 /** Tells whether a control host is up to date, so that it can be followed. */
--- a/src/follow/StateFeed.ts
+++ b/src/follow/StateFeed.ts
@@ -115,7 +115,8 @@
       entryHosts: this.#options.entryHosts.count,
       demand: this.#options.entryHosts.sumDemand(),
       controlHosts: this.#options.listControlHosts(),
-      crashes: crashes.changedSince(isComplete ? 0 : position.crashRevision)
+      crashes: crashes.changedSince(isComplete ? 0 : position.crashRevision),
+      losses: []
     }
   }
 
