Forget old excused losses of a request

A popular request may be in flight at every upstream that ends for another cause. Each end added a loss to its record, which is sent whole at each change; with losses less than ten minutes apart it never expired. Beyond 100 losses the oldest excused ones go. Found in review; CrashTable.test.ts fails without it.

--- a/__tests__/crashes/CrashTable.test.ts
+++ b/__tests__/crashes/CrashTable.test.ts
@@ -58,3 +58,14 @@
   context.mock.timers.tick(2)
   assert.equal(table.countLosses('f'), 0)
 })
+
+test('a popular request that is excused after each of many losses stays small', () => {
+  const table = new CrashTable()
+  for (let number = 0; number < 1_000; number += 1) {
+    table.recordLoss(`u-${number}@1`, ['f'])
+    table.excuse('f')
+  }
+  table.recordLoss('last@1', ['f'])
+  assert.ok(table.describe('f').lostUpstreams.length <= 101)
+  assert.equal(table.countLosses('f'), 1)
+})
--- a/src/crashes/CrashTable.ts
+++ b/src/crashes/CrashTable.ts
@@ -9,6 +9,9 @@
 /** Maximum number of entries of each kind; a request that ends upstreams is rare. */
 const MAXIMUM_ENTRIES = 1_000
 
+/** Losses kept of one request; a popular one may be in flight at every upstream that ends, and is excused each time. */
+const MAXIMUM_LOSSES_KEPT = 100
+
 interface RequestEntry {
   lostUpstreams: Set<string>
   excusedUpstreams: Set<string>
@@ -22,8 +25,8 @@
 }
 
 /**
- * Requests under which upstreams ended, as observed by all hosts. Sets of losses and of excuses only grow, so tables that
- * exchange reports become equal in whatever order these arrive.
+ * Requests under which upstreams ended, as observed by all hosts. Losses and excuses are only added, up to a size at which
+ * old excused ones are forgotten, so tables that exchange reports become equal in whatever order these arrive.
  */
 export class CrashTable {
   readonly #requestsByFingerprint = new Map<string, RequestEntry>()
@@ -117,6 +120,7 @@
     const hasNewExcuse = addAll(entry.excusedUpstreams, excusedUpstreams)
     if (!hasNewLoss && !hasNewExcuse) return
     if (hasNewLoss) entry.lastLossAt = performance.now()
+    forgetExcusedLosses(entry)
     entry.revision = ++this.#revision
     this.#requestsByFingerprint.delete(fingerprint)
     this.#requestsByFingerprint.set(fingerprint, entry)
@@ -135,6 +139,15 @@
   return [...lostUpstreams].filter((upstream) => !excusedUpstreams.has(upstream)).length
 }
 
+/** Removes the oldest losses that are excused from an entry that is too large. */
+function forgetExcusedLosses ({ lostUpstreams, excusedUpstreams }: RequestEntry): void {
+  for (const upstream of excusedUpstreams) {
+    if (lostUpstreams.size <= MAXIMUM_LOSSES_KEPT) return
+    lostUpstreams.delete(upstream)
+    excusedUpstreams.delete(upstream)
+  }
+}
+
 /** @returns whether any value was new */
 function addAll (target: Set<string>, values: readonly string[]): boolean {
   const previousSize = target.size
