Pass on only requests that a stopping host can still answer

What callers saw: in a planned stop in calm, requests that came late in the grace were passed on and run, and cut without an answer at its end, among them ones that must not be repeated.

Cause: EntryHostProcess.stop went on admitting until its end, and nothing compared the longest time that a run may take with the time that was left. The daemon form has the same gap between a request's deadline and the stop deadline.

Change: StopWindow decides, without input or output, by the time at which an answer is due. It is asked when the head is known, when the body is whole, when the request leaves the admission queue, before each attempt and before the first byte is written; bodies on their way and queued requests are refused as the stop begins. The refusal is 503, reason stopping, with a short Retry-After. Answers in flight at the signal ask the guest to leave, which they did not. A run is never broken off.

Conclusion: a run is cut only if it began before the signal on a route whose timeout is longer than the stop time.

--- a/__performance_tests__/lookups.ts
+++ b/__performance_tests__/lookups.ts
@@ -2,7 +2,7 @@
 import { readFileSync } from 'node:fs'
 import { Pool } from 'undici'
 import { createLookup } from '../src/daemon/createLookup.js'
-import { Counters, GuestInterface, HttpListener, MemberState, OwnerChooser, parseSheet, type AnnouncementHandler, type HostIdentity, type Ingress, type Member, type Membership } from '../src/hibiscusrelay.js'
+import { Counters, GuestInterface, HttpListener, MemberState, OwnerChooser, parseSheet, StopWindow, type AnnouncementHandler, type HostIdentity, type Ingress, type Member, type Membership } from '../src/hibiscusrelay.js'
 
 const ADDRESS = '127.79.0.1:7000'
 const WARM_UP_LOOKUPS = 2_000
@@ -40,6 +40,7 @@
   const membership = { members: () => members } as unknown as Membership
   const guests = new GuestInterface({
     ingress: {} as Ingress,
+    stopWindow: new StopWindow(),
     announcements: {} as AnnouncementHandler,
     currentSheet: () => sheet,
     lookup: createLookup({ self: members[0]!.host, membership, ticketPrefix: () => 'oviedo.epoch', timings: TIMINGS }),
--- a/__performance_tests__/placement/createModelHost.ts
+++ b/__performance_tests__/placement/createModelHost.ts
@@ -4,6 +4,7 @@
 import { ServiceAdmission } from '../../src/entry/ServiceAdmission.js'
 import { UpstreamLoads } from '../../src/entry/UpstreamLoads.js'
 import { KnownState } from '../../src/follow/KnownState.js'
+import { StopWindow } from '../../src/limits/StopWindow.js'
 import { Counters } from '../../src/observe/Counters.js'
 import { LatencyBuckets } from '../../src/observe/LatencyBuckets.js'
 import { ListenerState } from '../../src/utils/probeListener.js'
@@ -38,6 +39,7 @@
     admission,
     protocol: upstreamProtocol,
     ...createSender({ known, loads, connections: new ModelConnections(network, domain), protocol: upstreamProtocol, answerBufferBytes: 65_536, probe: async () => ListenerState.Open }),
+    stopWindow: new StopWindow(),
     retryBound: () => ({ ratio: 0.2, allowance: 112, windowMilliseconds: 10_000 }),
     regionOf,
     random: network.random,
--- a/__performance_tests__/relay/hopCost.ts
+++ b/__performance_tests__/relay/hopCost.ts
@@ -8,6 +8,7 @@
   Counters, forwardToOwner, HttpListener, Owner, PeerClient, PeerConnections, PeerMethod, PeerServer, PeerSignature, PoisonGuard, PoolRegistry, RetryBudget, serveForwarded,
   type RelayedRequest
 } from '../../src/hibiscusrelay.js'
+import { StopWindow } from '../../src/limits/StopWindow.js'
 import { exchange } from '../../src/relay/exchange.js'
 import { Upstream } from '../../src/relay/Upstream.js'
 import { RequestClass } from '../../src/types/RequestClass.js'
@@ -31,7 +32,7 @@
 const peerServer = new PeerServer(signature, counters)
 peerServer.register(PeerMethod.Probe, (parameters: object) => parameters)
 peerServer.registerRelay(async (head, body, message, response) => {
-  await serveForwarded({ owner, poison, spendLink: () => true, encodedHead: head, body }, message, response)
+  await serveForwarded({ owner, poison, stopWindow: new StopWindow(), spendLink: () => true, encodedHead: head, body }, message, response)
 })
 const peerListener = new HttpListener({ address: PEER_ADDRESS, headerBytes: 131_072, handle: async (message, response) => { await peerServer.handle(message, response) }, onMalformed: () => '' })
 const upstreamServer = createServer((message, response) => {
--- a/__tests__/entry/createRelayFixture.ts
+++ b/__tests__/entry/createRelayFixture.ts
@@ -4,6 +4,7 @@
 import { UpstreamConnections } from '../../src/entry/UpstreamConnections.js'
 import { UpstreamLoads } from '../../src/entry/UpstreamLoads.js'
 import { KnownState } from '../../src/follow/KnownState.js'
+import { StopWindow } from '../../src/limits/StopWindow.js'
 import { Counters } from '../../src/observe/Counters.js'
 import { LatencyBuckets } from '../../src/observe/LatencyBuckets.js'
 import type { PlanRoute } from '../../src/plan/RoutingPlan.js'
@@ -47,6 +48,7 @@
     admission: new ServiceAdmission(known, loads),
     protocol: upstreamProtocol,
     ...parts,
+    stopWindow: new StopWindow(),
     retryBound: () => ({ ratio: 0.2, allowance: 1_000_000, windowMilliseconds: 10_000 }),
     regionOf: () => 'asturias',
     random: () => 0,
--- a/__tests__/guest/GuestInterface.test.ts
+++ b/__tests__/guest/GuestInterface.test.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { request } from 'undici'
 import { GuestInterface } from '../../src/guest/GuestInterface.js'
+import { StopWindow } from '../../src/limits/StopWindow.js'
 import { Counters } from '../../src/observe/Counters.js'
 import type { AnnouncementHandler } from '../../src/relay/AnnouncementHandler.js'
 import type { Ingress } from '../../src/relay/Ingress.js'
@@ -30,6 +31,7 @@
 }
 const guestInterface = new GuestInterface({
   ingress: ingress as unknown as Ingress,
+  stopWindow: new StopWindow(),
   announcements: { handle: () => undefined } as unknown as AnnouncementHandler,
   currentSheet: () => parseSheet(createSheetText()).sheet,
   lookup: ({ service, place }) => ({ service, place, hosts: [{ name: 'oviedo-1', address: ADDRESS, weight: 1 }], lifetimeSeconds: 3, ticket: undefined }),
--- a/__tests__/relay/oneTimeDeadline.test.ts
+++ b/__tests__/relay/oneTimeDeadline.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test, type TestContext } from 'node:test'
 import { ClaimResult, type ClaimAnswer, type ClaimLedger } from '../../src/ledger/ClaimLedger.js'
+import { StopWindow } from '../../src/limits/StopWindow.js'
 import { Counters } from '../../src/observe/Counters.js'
 import { Ingress } from '../../src/relay/Ingress.js'
 import { PoisonGuard } from '../../src/relay/PoisonGuard.js'
@@ -42,6 +43,7 @@
       return answerUnknown(RefusalReason.AnswerLost)
     },
     ledger: completeLedger,
+    stopWindow: new StopWindow(),
     poison: new PoisonGuard(),
     retryBudget: () => new RetryBudget(10),
     counters: new Counters()
--- a/__tests__/support/createSender.ts
+++ b/__tests__/support/createSender.ts
@@ -5,6 +5,7 @@
 import { UpstreamRuns } from '../../src/entry/UpstreamRuns.js'
 import { UpstreamSender, type UpstreamSenderOptions } from '../../src/entry/UpstreamSender.js'
 import { SuspectDesk, type SuspectPermitRequest } from '../../src/crashes/SuspectDesk.js'
+import { StopWindow } from '../../src/limits/StopWindow.js'
 import type { CallPeer } from '../../src/transport/CallPeer.js'
 
 const silentLog = { info: () => {}, warn: () => {}, error: () => {} }
@@ -24,7 +25,7 @@
   const crashes = new CrashTable()
   const detector = new CrashDetector({ runs, crashes, known: options.known, probe: options.probe, onChange: () => {}, log: silentLog })
   const gate = new SuspectGate({ crashes, detector, listControlHosts: () => ['control'], callPeer: createPermitCalls(), log: silentLog })
-  const sender = new UpstreamSender({ ...options, runs, crashes, detector, onExcuse: () => {}, log: silentLog })
+  const sender = new UpstreamSender({ ...options, runs, crashes, detector, onExcuse: () => {}, stopWindow: new StopWindow(), log: silentLog })
   return { gate, runs, sender, crashes, detector }
 }
 
--- a/src/cli/trace/describeRequestLine.ts
+++ b/src/cli/trace/describeRequestLine.ts
@@ -11,6 +11,7 @@
   [RefusalReason.UpstreamUnreachable]: 'no connection to an upstream could be opened; nothing was sent',
   [RefusalReason.AnswerLost]: 'it was sent, but its answer was lost or did not belong to it; it may have run',
   [RefusalReason.DeadlinePassed]: 'its deadline passed before the answer arrived',
+  [RefusalReason.Stopping]: 'the host was stopping, and its answer might not have been in before the end; nothing was sent',
   [RefusalReason.Cancelled]: 'the guest closed its connection',
   [RefusalReason.Poison]: 'two upstreams died earlier while they ran the same request',
   [RefusalReason.UnknownPath]: 'no route of the plan in force matches its host name and path'
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import {
-  Counters, createMetricSink, declareCounters, GuestInterface, HostTransport, HttpListener, LossSignals, MemberState, OperatorInterface, OwnerChooser, Step,
+  Counters, createMetricSink, declareCounters, GuestInterface, HostTransport, HttpListener, LossSignals, MemberState, OperatorInterface, OwnerChooser, Step, StopWindow,
   type ChoiceExplanation, type ClosableMetricSink, type HostIdentity, type Log, type Member, type Membership, type Settings, type Sheet
 } from '../hibiscusrelay.js'
 import { createLookup } from './createLookup.js'
@@ -37,6 +37,7 @@
   readonly #lossSignals = new LossSignals()
   #isDraining = false
   #publishTimer: NodeJS.Timeout | undefined
+  readonly #stopWindow = new StopWindow()
   #stopping: Promise<number> | undefined
 
   /**
@@ -103,6 +104,7 @@
     const { lookupLifetimeSeconds, stopDeadlineMilliseconds } = this.settings.timings
     const deadline = performance.now() + stopDeadlineMilliseconds
     this.#isDraining = true
+    this.#stopWindow.begin(deadline)
     this.#publishDetails()
     this.#guestListener.beginClose()
     this.#log.info('stopping', { step: Step.Stop, inFlight: this.#guestListener.inFlight, pooled: this.relay.requestCount })
@@ -137,6 +139,7 @@
       incarnation: this.incarnation,
       transport: this.#transport,
       ledger: this.#ledger.claimLedger,
+      stopWindow: this.#stopWindow,
       chooseOwner: (context) => this.#ownerChooser.choose(context),
       cap: this.limits,
       linkBudgets: this.limits.linkBudgets,
@@ -152,6 +155,7 @@
     const { settings, counters, membership } = this
     const guestInterface = new GuestInterface({
       ingress: this.relay.ingress,
+      stopWindow: this.#stopWindow,
       announcements: this.relay.announcements,
       currentSheet: () => this.sheets.getCurrentSheet(),
       lookup: createLookup({ self: settings.host, membership, ticketPrefix: () => this.#ledger.claimLedger.ticketPrefix(), timings: settings.timings }),
--- a/src/daemon/HostRelay.ts
+++ b/src/daemon/HostRelay.ts
@@ -1,6 +1,6 @@
 import {
   AnnouncementHandler, CrashReporter, Ingress, Owner, PoisonGuard, PoolRegistry, RetryBudget, SuspectRuns, forwardToOwner, serveForwarded,
-  type ChooseOwner, type ClaimLedger, type Counters, type HostIdentity, type LinkBudgets, type Log, type RelayAnswer, type RelayedRequest, type ServiceCap, type Settings, type HostTransport
+  type ChooseOwner, type ClaimLedger, type Counters, type HostIdentity, type LinkBudgets, type Log, type RelayAnswer, type RelayedRequest, type ServiceCap, type Settings, type HostTransport, type StopWindow
 } from '../hibiscusrelay.js'
 
 const EXPIRY_CHECK_INTERVAL_MILLISECONDS = 100
@@ -11,6 +11,7 @@
   incarnation: number
   transport: HostTransport
   ledger: ClaimLedger
+  stopWindow: StopWindow
   chooseOwner: ChooseOwner
   /** Caps of the services in the local place. */
   cap: ServiceCap
@@ -101,10 +102,11 @@
   }
 
   #createIngress (): Ingress {
-    const { chooseOwner, ledger, counters } = this.#options
+    const { chooseOwner, ledger, stopWindow, counters } = this.#options
     return new Ingress({
       chooseOwner,
       ledger,
+      stopWindow,
       sendToOwner: (host, request) => this.#sendToOwner(host, request),
       poison: this.poison,
       retryBudget: (service) => this.#getRetryBudget(service),
@@ -113,12 +115,12 @@
   }
 
   #registerHandlers (): void {
-    const { settings, transport, linkBudgets } = this.#options
+    const { settings, transport, linkBudgets, stopWindow } = this.#options
     const spendLink = (toRegion: string, bytes: number): boolean => linkBudgets.trySpend(settings.host.region, toRegion, bytes)
     transport.server.registerRelay(async (head, body, message, response) => {
       this.#relaysInFlight += 1
       response.once('close', () => { this.#relaysInFlight -= 1 })
-      await serveForwarded({ owner: this.owner, poison: this.poison, spendLink, encodedHead: head, body }, message, response)
+      await serveForwarded({ owner: this.owner, poison: this.poison, stopWindow, spendLink, encodedHead: head, body }, message, response)
     })
   }
 
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -5,6 +5,7 @@
 import type { CrashReport } from '../crashes/CrashReport.js'
 import { ControlFollower } from '../follow/ControlFollower.js'
 import { KnownState } from '../follow/KnownState.js'
+import { StopWindow } from '../limits/StopWindow.js'
 import type { Counters } from '../observe/Counters.js'
 import { EventLoopMonitor } from '../observe/EventLoopMonitor.js'
 import type { LatencyBuckets } from '../observe/LatencyBuckets.js'
@@ -71,6 +72,7 @@
   readonly #loads = new UpstreamLoads(this.#known)
   readonly #connections = new UpstreamConnections()
   readonly #runs = new UpstreamRuns()
+  readonly #stopWindow = new StopWindow()
   readonly #crashes = new CrashTable()
   readonly #admission = new ServiceAdmission(this.#known, this.#loads)
   readonly #eventLoopMonitor: EventLoopMonitor
@@ -79,7 +81,7 @@
   readonly #crashDetector: CrashDetector
   readonly #listener: HttpListener
   #isListening = false
-  #isStopping = false
+  #stopping: Promise<number> | undefined
   #pruneTimer: NodeJS.Timeout | undefined
 
   /** @param options - settings, protocols, metrics and log */
@@ -89,7 +91,7 @@
     this.#follower = this.#createFollower()
     this.#crashSharer = this.#createCrashSharer()
     this.#crashDetector = new CrashDetector({ runs: this.#runs, crashes: this.#crashes, known: this.#known, onChange: () => { this.#crashSharer.share() }, log: options.log })
-    const guestListener = new GuestListener({ ...options, known: this.#known, relay: this.#createRelay() })
+    const guestListener = new GuestListener({ ...options, known: this.#known, relay: this.#createRelay(), stopWindow: this.#stopWindow })
     this.#listener = new HttpListener({
       address: options.settings().guestAddress,
       headerBytes: MAXIMUM_HEADER_BYTES,
@@ -100,7 +102,7 @@
 
   /** Whether the host accepts guests. */
   get isReady (): boolean {
-    return this.#isListening && !this.#isStopping && this.#known.plan !== undefined
+    return this.#isListening && this.#stopping === undefined && this.#known.plan !== undefined
   }
 
   /** Starts to follow the control hosts and to listen for guests. */
@@ -114,13 +116,19 @@
   }
 
   /**
-   * Stops the host: guests are asked to disconnect, and requests in flight may end first.
+   * Stops the host: guests are asked to disconnect, and requests in flight may end first. Requests that come meanwhile are
+   * served only if their answer is due before the end. Later calls return the result of the first.
    *
    * @returns number of requests that were aborted
    */
   async stop (): Promise<number> {
+    this.#stopping ??= this.#stopOnce()
+    return await this.#stopping
+  }
+
+  async #stopOnce (): Promise<number> {
     const stopDeadline = performance.now() + this.#options.settings().stopMilliseconds - STOP_RESERVE_MILLISECONDS
-    this.#isStopping = true
+    this.#stopWindow.begin(stopDeadline)
     this.#listener.beginClose()
     await this.#follower.report()
     await sleep(CONNECTION_GRACE_MILLISECONDS)
@@ -172,6 +180,7 @@
       gate: new SuspectGate({ crashes: this.#crashes, detector: this.#crashDetector, listControlHosts: () => this.#follower.listControlHosts(), callPeer, log }),
       runs: this.#runs,
       sender: this.#createSender(),
+      stopWindow: this.#stopWindow,
       retryBound: () => settings().retryBound,
       regionOf: (domain) => settings().regions.get(domain),
       random,
@@ -193,6 +202,7 @@
       crashes: this.#crashes,
       detector: this.#crashDetector,
       onExcuse: () => { this.#crashSharer.share() },
+      stopWindow: this.#stopWindow,
       answerBufferBytes: MAXIMUM_BUFFERED_ANSWER_BYTES,
       log
     })
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -1,5 +1,6 @@
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
 import type { KnownState } from '../follow/KnownState.js'
+import type { StopWindow } from '../limits/StopWindow.js'
 import type { Counters } from '../observe/Counters.js'
 import { retryCounter } from '../observe/declareCounters.js'
 import type { LatencyBuckets } from '../observe/LatencyBuckets.js'
@@ -47,6 +48,7 @@
   gate: Pick<SuspectGate, 'enter'>
   runs: Pick<UpstreamRuns, 'isProven'>
   sender: UpstreamSender
+  stopWindow: StopWindow
   retryBound: () => RetryBound
   regionOf: (domain: string) => string | undefined
   random: () => number
@@ -86,11 +88,12 @@
 
   async #admit (request: EntryRequest, progress: RequestProgress): Promise<RelayAnswer> {
     const queue = this.#options.admission.recordArrival(progress.service)
-    const admissionResult = await queue.enter(createAdmissionRequest(request, queue.meanHoldMilliseconds), request.cancelled)
+    const admissionResult = await queue.enter(createAdmissionRequest(request, queue.meanHoldMilliseconds, this.#options.stopWindow), request.cancelled)
     const admittedAt = performance.now()
     progress.waitedMilliseconds = Math.round(admittedAt - request.arrivedAt)
     if (admissionResult === AdmissionResult.Cancelled) return refuse(RefusalReason.Cancelled)
     if (admissionResult === AdmissionResult.TooLate) return refuse(RefusalReason.QueueFull)
+    if (admissionResult === AdmissionResult.Stopping) return refuse(RefusalReason.Stopping)
     try {
       return await this.#sendUntilAnswered(request, progress)
     } finally {
@@ -103,9 +106,9 @@
       const leaveGate = await this.#options.gate.enter({ fingerprint: progress.fingerprint, deadline: request.deadline, cancelled: request.cancelled })
       if (typeof leaveGate !== 'function') return this.#finishUnanswered(progress, leaveGate)
       const chosen = this.#chooseUpstream(request, progress)
-      if (chosen === undefined) {
+      if (typeof chosen === 'string') {
         leaveGate()
-        return this.#finishUnanswered(progress, progress.candidateCount === 0 ? RefusalReason.NoUpstream : RefusalReason.UpstreamsFull)
+        return this.#finishUnanswered(progress, chosen)
       }
       if (chosen.isCold) this.#coldShare.take(chosen.record.id, performance.now())
       const answer = await this.#send(request, progress, chosen.record, leaveGate)
@@ -115,8 +118,10 @@
     }
   }
 
-  #chooseUpstream (request: EntryRequest, progress: RequestProgress): PlacementCandidate | undefined {
-    const { known, loads, regionOf } = this.#options
+  /** @returns the upstream for the next attempt, or why there is none */
+  #chooseUpstream (request: EntryRequest, progress: RequestProgress): PlacementCandidate | RefusalReason {
+    const { known, loads, regionOf, stopWindow } = this.#options
+    if (!stopWindow.admits(request.deadline)) return RefusalReason.Stopping
     const { route } = request
     const candidates = listCandidates(known, loads, {
       service: progress.service,
@@ -129,7 +134,7 @@
     })
     const chosen = choosePlacement(candidates)
     progress.recordPlacement(candidates, chosen)
-    return chosen
+    return chosen ?? (candidates.length === 0 ? RefusalReason.NoUpstream : RefusalReason.UpstreamsFull)
   }
 
   #canUseCold (record: UpstreamRecord): boolean {
--- a/src/entry/GuestListener.ts
+++ b/src/entry/GuestListener.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { KnownState } from '../follow/KnownState.js'
+import type { StopWindow } from '../limits/StopWindow.js'
 import type { Counters } from '../observe/Counters.js'
 import { refusalCounter } from '../observe/declareCounters.js'
 import type { Log } from '../observe/Log.js'
@@ -11,6 +12,7 @@
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
 import { listEndToEndHeaders } from '../guest/listEndToEndHeaders.js'
 import { readBodyUntil } from '../transport/readBodyUntil.js'
+import { endAfterRequest } from '../transport/endAfterRequest.js'
 import { hasCallerDisconnected } from '../transport/hasCallerDisconnected.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { Step } from '../types/Step.js'
@@ -32,6 +34,7 @@
 export interface GuestListenerOptions {
   known: KnownState
   relay: EntryRelay
+  stopWindow: StopWindow
   /** Reads the fields of a request; returns undefined when they are malformed. */
   readFields: (message: IncomingMessage) => GuestFields | undefined
   random: () => number
@@ -63,7 +66,7 @@
     const cancellation = new AbortController()
     response.once('close', () => { if (!response.writableFinished) cancellation.abort() })
     const request = await this.#readRequest(message, cancellation.signal)
-    if (typeof request === 'string') return this.#refuse(message, response, request)
+    if (typeof request === 'string') return await this.#refuse(message, response, request)
     if (await hasCallerDisconnected(message)) return this.#discardRequest(response, request)
     const answer = await this.#options.relay.serve(request)
     if (response.destroyed) return
@@ -79,7 +82,7 @@
   }
 
   async #readRequest (message: IncomingMessage, cancelled: AbortSignal): Promise<EntryRequest | RefusalReason> {
-    const { known, readFields } = this.#options
+    const { known, readFields, stopWindow } = this.#options
     const arrivedAt = performance.now()
     const { plan, routes } = known
     if (plan === undefined || routes === undefined) return RefusalReason.NoPlan
@@ -90,7 +93,7 @@
     if (fields === undefined) return RefusalReason.BadRequest
     const guestDeadline = arrivedAt + (fields.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS)
     const deadline = Math.min(guestDeadline, arrivedAt + route.timeoutMilliseconds)
-    const body = await readBodyUntil(message, plan.limits.bodyBytes, deadline)
+    const body = await readBodyUntil(message, plan.limits.bodyBytes, deadline, stopWindow)
     if (!Buffer.isBuffer(body)) return body
     return {
       id: fields.id,
@@ -121,7 +124,7 @@
     if (status === STATUS_UNAVAILABLE) response.setHeader('retry-after', String(chooseRetryAfter(reason, Math.max(0, remainingMilliseconds), this.#options.random())))
   }
 
-  #refuse (message: IncomingMessage, response: ServerResponse, reason: RefusalReason): void {
+  async #refuse (message: IncomingMessage, response: ServerResponse, reason: RefusalReason): Promise<void> {
     const { counters, log, known, readFields } = this.#options
     counters.increment(refusalCounter(reason))
     const fields = readFields(message)
@@ -130,6 +133,7 @@
     if (!message.complete) response.setHeader('connection', 'close')
     this.#setRefusalHeaders(response, getRefusalStatus(reason), reason, fields?.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS)
     const body = answer.body as Buffer
-    response.writeHead(answer.status, { 'content-type': 'application/json', 'content-length': body.length }).end(body)
+    response.writeHead(answer.status, { 'content-type': 'application/json', 'content-length': body.length })
+    await endAfterRequest(message, response, body)
   }
 }
--- a/src/entry/UpstreamSender.ts
+++ b/src/entry/UpstreamSender.ts
@@ -1,6 +1,7 @@
 import type { CrashTable } from '../crashes/CrashTable.js'
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
 import type { KnownState } from '../follow/KnownState.js'
+import type { StopWindow } from '../limits/StopWindow.js'
 import type { Log } from '../observe/Log.js'
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
 import { exchange, type ExchangeAnswer } from '../relay/exchange.js'
@@ -23,6 +24,7 @@
   detector: CrashDetector
   /** Called after a request was excused in the crash table. */
   onExcuse: () => void
+  stopWindow: Pick<StopWindow, 'admits'>
   answerBufferBytes: number
   log: Log
 }
@@ -89,7 +91,7 @@
   }
 
   #exchange (request: EntryRequest, record: UpstreamRecord): Promise<ExchangeAnswer> {
-    const { connections, protocol, answerBufferBytes } = this.#options
+    const { connections, protocol, answerBufferBytes, stopWindow } = this.#options
     const remainingMilliseconds = Math.max(1, Math.floor(request.deadline - performance.now()))
     return exchange(connections.to(record), {
       peer: record.address,
@@ -102,7 +104,7 @@
       answerBufferBytes,
       closeConnection: false,
       isHeadSufficient: (status, headers) => protocol.isRefusal(status, headers),
-      mayWrite: () => this.#canStillUse(record)
+      mayWrite: () => stopWindow.admits(request.deadline) && this.#canStillUse(record)
     })
   }
 
--- a/src/entry/createAdmissionRequest.ts
+++ b/src/entry/createAdmissionRequest.ts
@@ -1,3 +1,4 @@
+import type { StopWindow } from '../limits/StopWindow.js'
 import type { AdmissionRequest } from '../placement/AdmissionQueue.js'
 import { computeMaximumWait } from '../placement/computeMaximumWait.js'
 import type { EntryRequest } from './EntryRequest.js'
@@ -7,10 +8,15 @@
  *
  * @param request - a request that has just arrived
  * @param meanHoldMilliseconds - mean time from admission to the end of a request
- * @returns its priority and maximum wait
+ * @param stopWindow - decides what a stopping host still accepts
+ * @returns its priority, its maximum wait and what else ends the wait
  */
-export function createAdmissionRequest ({ route, arrivedAt, deadline }: EntryRequest, meanHoldMilliseconds: number): AdmissionRequest {
+export function createAdmissionRequest ({ route, arrivedAt, deadline }: EntryRequest, meanHoldMilliseconds: number, stopWindow: Pick<StopWindow, 'watch'>): AdmissionRequest {
   const now = performance.now()
   const remainingObjective = arrivedAt + route.targetLatencyMilliseconds - now
-  return { priority: route.priority, maximumWaitMilliseconds: computeMaximumWait({ objectiveMilliseconds: remainingObjective, remainingMilliseconds: deadline - now, expectedRunMilliseconds: meanHoldMilliseconds }) }
+  return {
+    priority: route.priority,
+    maximumWaitMilliseconds: computeMaximumWait({ objectiveMilliseconds: remainingObjective, remainingMilliseconds: deadline - now, expectedRunMilliseconds: meanHoldMilliseconds }),
+    watchStop: (refuse) => stopWindow.watch(deadline, refuse)
+  }
 }
--- a/src/guest/GuestInterface.ts
+++ b/src/guest/GuestInterface.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { StopWindow } from '../limits/StopWindow.js'
 import type { Counters } from '../observe/Counters.js'
 import { refusalCounter } from '../observe/declareCounters.js'
 import type { Log } from '../observe/Log.js'
@@ -12,6 +13,7 @@
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
 import type { LimitSettings, TimingSettings } from '../settings/Settings.js'
 import { readBody } from '../transport/readBody.js'
+import { endAfterRequest } from '../transport/endAfterRequest.js'
 import { hasCallerDisconnected } from '../transport/hasCallerDisconnected.js'
 import { Outcome } from '../types/Outcome.js'
 import { RefusalReason } from '../types/RefusalReason.js'
@@ -28,6 +30,7 @@
 /** Dependencies of the guest interface. */
 export interface GuestInterfaceOptions {
   ingress: Ingress
+  stopWindow: StopWindow
   announcements: AnnouncementHandler
   currentSheet: () => Sheet | undefined
   /** Answers a lookup of a known service. */
@@ -41,7 +44,7 @@
 }
 
 /** Refusals of requests whose body has not been read completely; their connection is closed. */
-const UNREAD_BODY_REASONS = new Set([RefusalReason.BodyTooLarge, RefusalReason.BodyTimedOut])
+const UNREAD_BODY_REASONS = new Set([RefusalReason.BodyTooLarge, RefusalReason.BodyTimedOut, RefusalReason.Stopping])
 
 /** HTTP interface of an entry host for guests and upstreams. */
 export class GuestInterface {
@@ -56,14 +59,14 @@
   async handle (message: IncomingMessage, response: ServerResponse): Promise<void> {
     try {
       const url = new URL(message.url ?? '', 'http://host')
-      if (url.pathname === LOOKUP_PATH) this.#answerLookup(message, url, response)
+      if (url.pathname === LOOKUP_PATH) await this.#answerLookup(message, url, response)
       else if (url.pathname === ANNOUNCEMENTS_PATH) await this.#handleAnnouncement(message, response)
       else if (message.url!.startsWith(SERVICES_PATH)) await this.#serve(message, response)
-      else this.#refuse(message, response, RefusalReason.UnknownPath)
+      else await this.#refuse(message, response, RefusalReason.UnknownPath)
     } catch (error) {
       this.#options.log.error('guest-request-failed', { step: Step.Ingress, peer: message.socket.remoteAddress, cause: String(error) })
       if (response.headersSent) response.destroy()
-      else this.#refuse(message, response, RefusalReason.InternalError)
+      else await this.#refuse(message, response, RefusalReason.InternalError)
     }
   }
 
@@ -80,28 +83,28 @@
       `hibiscusrelay-outcome: ${Outcome.NotRun}\r\nhibiscusrelay-reason: ${reason}\r\n\r\n${body}`
   }
 
-  #answerLookup (message: IncomingMessage, url: URL, response: ServerResponse): void {
-    if (message.method !== 'GET') return this.#refuse(message, response, RefusalReason.BadMethod)
+  async #answerLookup (message: IncomingMessage, url: URL, response: ServerResponse): Promise<void> {
+    if (message.method !== 'GET') return await this.#refuse(message, response, RefusalReason.BadMethod)
     const sheet = this.#options.currentSheet()
-    if (sheet === undefined) return this.#refuse(message, response, RefusalReason.NoSheet)
+    if (sheet === undefined) return await this.#refuse(message, response, RefusalReason.NoSheet)
     const service = url.searchParams.get('service') ?? ''
-    if (!sheet.services.has(service)) return this.#refuse(message, response, RefusalReason.UnknownService)
+    if (!sheet.services.has(service)) return await this.#refuse(message, response, RefusalReason.UnknownService)
     const requestedPlace = url.searchParams.get('place')
-    if (requestedPlace !== null && !sheet.places.has(requestedPlace)) return this.#refuse(message, response, RefusalReason.UnknownPlace)
+    if (requestedPlace !== null && !sheet.places.has(requestedPlace)) return await this.#refuse(message, response, RefusalReason.UnknownPlace)
     const address = message.socket.remoteAddress ?? ''
     const place = requestedPlace ?? sheet.guestBlocks.findPlace(address)
     const answer = this.#options.lookup({ sheet, service, place, address })
-    if (answer.hosts.length === 0) return this.#refuse(message, response, RefusalReason.NoHost)
+    if (answer.hosts.length === 0) return await this.#refuse(message, response, RefusalReason.NoHost)
     this.#options.counters.increment('lookup.answered')
     this.#sendJson(response, 200, answer, { 'cache-control': `private, max-age=${answer.lifetimeSeconds}` })
   }
 
   async #handleAnnouncement (message: IncomingMessage, response: ServerResponse): Promise<void> {
-    if (message.method !== 'POST') return this.#refuse(message, response, RefusalReason.BadMethod)
+    if (message.method !== 'POST') return await this.#refuse(message, response, RefusalReason.BadMethod)
     const body = await readBody(message, MAXIMUM_ANNOUNCEMENT_BYTES)
-    if (body === undefined) return this.#refuse(message, response, RefusalReason.BodyTooLarge)
+    if (body === undefined) return await this.#refuse(message, response, RefusalReason.BodyTooLarge)
     const announcement = announcementSchema.safeParse(parseJson(body))
-    if (!announcement.success) return this.#refuse(message, response, RefusalReason.BadJson)
+    if (!announcement.success) return await this.#refuse(message, response, RefusalReason.BadJson)
     const answer = this.#options.announcements.handle(announcement.data)
     if (answer === undefined) this.#sendJson(response, 409, { reason: RefusalReason.StaleAnnouncement })
     else this.#sendJson(response, 200, answer)
@@ -110,10 +113,10 @@
   async #serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
     const cancellation = new AbortController()
     response.once('close', () => { if (!response.writableEnded) cancellation.abort() })
-    const { limits, timings } = this.#options
+    const { limits, timings, stopWindow } = this.#options
     const sheet = this.#options.currentSheet()
-    const request = await readGuestRequest(message, { sheet, limits, timings, cancelled: cancellation.signal })
-    if (typeof request === 'string') return this.#refuse(message, response, request)
+    const request = await readGuestRequest(message, { sheet, limits, timings, stopWindow, cancelled: cancellation.signal })
+    if (typeof request === 'string') return await this.#refuse(message, response, request)
     if (await hasCallerDisconnected(message)) return this.#discardRequest(response, request.id)
     const guestPlace = sheet?.guestBlocks.findPlace(message.socket.remoteAddress ?? '')
     const answer = await this.#options.ingress.serve(request, guestPlace)
@@ -147,12 +150,15 @@
   }
 
   /** A refused request with an idempotency key is answered as unknown: an earlier attempt may have run. */
-  #refuse (message: IncomingMessage, response: ServerResponse, reason: RefusalReason): void {
+  async #refuse (message: IncomingMessage, response: ServerResponse, reason: RefusalReason): Promise<void> {
     this.#options.counters.increment(refusalCounter(reason))
     const answer = message.headers['idempotency-key'] === undefined ? refuse(reason) : answerUnknown(reason)
     if (UNREAD_BODY_REASONS.has(reason)) response.setHeader('connection', 'close')
     this.#setRefusalHeaders(response, reason)
-    response.writeHead(answer.status, { 'content-type': 'application/json', 'hibiscusrelay-outcome': answer.outcome }).end(answer.body)
+    const body = answer.body as Buffer
+    response.writeHead(answer.status, { 'content-type': 'application/json', 'hibiscusrelay-outcome': answer.outcome, ...createLengthHeader(body) })
+    if (UNREAD_BODY_REASONS.has(reason)) await endAfterRequest(message, response, body)
+    else response.end(body)
   }
 
   #sendJson (response: ServerResponse, status: number, body: object, headers: Record<string, string> = {}): void {
--- a/src/guest/readGuestRequest.ts
+++ b/src/guest/readGuestRequest.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import type { IncomingMessage } from 'node:http'
+import type { StopWindow } from '../limits/StopWindow.js'
 import { fingerprintRequest } from '../relay/fingerprintRequest.js'
 import type { RelayedRequest } from '../relay/RelayedRequest.js'
 import type { LimitSettings, TimingSettings } from '../settings/Settings.js'
@@ -24,6 +25,7 @@
   sheet: Sheet | undefined
   limits: LimitSettings
   timings: TimingSettings
+  stopWindow: StopWindow
   cancelled: AbortSignal
 }
 
@@ -48,7 +50,7 @@
   const key = message.headers['idempotency-key']
   if (Array.isArray(key) || (key?.length ?? 0) > MAXIMUM_KEY_CHARACTERS) return RefusalReason.BadRequest
   const deadline = startedAt + deadlineMilliseconds - Math.min(MAXIMUM_ANSWER_TRANSIT_MILLISECONDS, deadlineMilliseconds * ANSWER_TRANSIT_FRACTION)
-  const body = await readBodyUntil(message, context.limits.requestBodyBytes, deadline)
+  const body = await readBodyUntil(message, context.limits.requestBodyBytes, deadline, context.stopWindow)
   if (!Buffer.isBuffer(body)) return body
   const requestClass = IDEMPOTENT_METHODS.has(method) ? RequestClass.Idempotent : serviceEntry.requestClass
   return {
@@ -63,7 +65,7 @@
     deadline,
     fingerprint: fingerprintRequest({ scope: target.service, method, path: target.path, body }),
     mayWait: true,
-    mayStart: () => true,
+    mayStart: () => context.stopWindow.admits(deadline),
     cancelled: context.cancelled
   }
 }
--- a/src/placement/AdmissionQueue.ts
+++ b/src/placement/AdmissionQueue.ts
@@ -9,6 +9,8 @@
   priority: number
   /** Longest useful wait; a request that would wait longer is refused. */
   maximumWaitMilliseconds: number
+  /** Calls the function when a stop of the host begins that ends the wait; returns a function that ends the watch. By default never. */
+  watchStop?: (refuse: () => void) => () => void
 }
 
 /** Result of asking for admission. */
@@ -16,6 +18,8 @@
   Admitted = 'admitted',
   /** The request could not be sent within its maximum wait. */
   TooLate = 'too-late',
+  /** The host stops before the request could be answered. */
+  Stopping = 'stopping',
   /** The guest disconnected. */
   Cancelled = 'cancelled'
 }
@@ -99,10 +103,11 @@
     }
   }
 
-  #wait ({ priority, maximumWaitMilliseconds }: AdmissionRequest, cancelled: AbortSignal): Promise<AdmissionResult> {
+  #wait ({ priority, maximumWaitMilliseconds, watchStop }: AdmissionRequest, cancelled: AbortSignal): Promise<AdmissionResult> {
     return new Promise((resolve) => {
       const settle = (result: AdmissionResult): void => {
         clearTimeout(timer)
+        endWatch?.()
         cancelled.removeEventListener('abort', onCancelled)
         this.#waiting.splice(this.#waiting.indexOf(queued), 1)
         resolve(result)
@@ -110,6 +115,7 @@
       const queued: QueuedRequest = { priority, enqueuedAt: performance.now(), settle }
       const onCancelled = (): void => { settle(AdmissionResult.Cancelled) }
       const timer = setTimeout(() => { settle(AdmissionResult.TooLate) }, maximumWaitMilliseconds)
+      const endWatch = watchStop?.(() => { settle(AdmissionResult.Stopping) })
       cancelled.addEventListener('abort', onCancelled)
       this.#insert(queued)
     })
--- a/src/placement/chooseRetryAfter.ts
+++ b/src/placement/chooseRetryAfter.ts
@@ -8,14 +8,14 @@
 const PROMPT_DELAY_MILLISECONDS = 20
 const PROMPT_JITTER_MILLISECONDS = 80
 
-const PROMPT_REASONS = new Set([RefusalReason.ShedWithFreeSlots, RefusalReason.UpstreamUnreachable])
+const PROMPT_REASONS = new Set([RefusalReason.ShedWithFreeSlots, RefusalReason.UpstreamUnreachable, RefusalReason.Stopping])
 
 /**
  * Chooses how long a refused guest should wait before its next attempt.
  *
  * Load patterns: a burst is refused within some milliseconds, and without a random spread its guests come back as the
  * same burst. Upstreams that refuse some of their requests although they have free slots: waiting gains nothing and
- * delays the answer.
+ * delays the answer. A host that stops: its guests find free slots at any other host.
  *
  * @param reason - why the guest was refused
  * @param remainingMilliseconds - time until the guest's deadline
--- a/src/relay/Ingress.ts
+++ b/src/relay/Ingress.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises'
+import type { StopWindow } from '../limits/StopWindow.js'
 import type { Counters } from '../observe/Counters.js'
 import { outcomeCounter, refusalCounter, RETRY_BUDGET_COUNTER, retryCounter } from '../observe/declareCounters.js'
 import type { HostIdentity } from '../types/HostIdentity.js'
@@ -31,6 +32,7 @@
   /** Runs the request on the pool of the local host or of another one. */
   sendToOwner: (host: HostIdentity, request: RelayedRequest) => Promise<RelayAnswer>
   ledger: ClaimLedger
+  stopWindow: Pick<StopWindow, 'admits'>
   poison: PoisonGuard
   retryBudget: (service: string) => RetryBudget
   counters: Counters
@@ -69,7 +71,7 @@
     const claim = await this.#claim(request, request.key)
     const answerWithoutRun = answerClaim(claim)
     if (answerWithoutRun !== undefined) return answerWithoutRun
-    const answer = await this.#runClaimed({ ...request, mayStart: claim.isStillValid }, request.key, guestPlace)
+    const answer = await this.#runClaimed({ ...request, mayStart: () => request.mayStart() && claim.isStillValid() }, request.key, guestPlace)
     return await storeAnswer(this.#options.ledger, request.key, answer, request.deadline)
   }
 
@@ -145,6 +147,7 @@
     if (request.cancelled.aborted) return RefusalReason.Cancelled
     if (performance.now() >= request.deadline) return RefusalReason.DeadlinePassed
     if (this.#options.poison.isPoison(request.fingerprint)) return RefusalReason.Poison
+    if (!this.#options.stopWindow.admits(request.deadline)) return RefusalReason.Stopping
     if (!request.mayStart()) return RefusalReason.LeaseLost
     return undefined
   }
--- a/src/relay/serveForwarded.ts
+++ b/src/relay/serveForwarded.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { Readable } from 'node:stream'
 import { setTimeout as sleep } from 'node:timers/promises'
+import type { StopWindow } from '../limits/StopWindow.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { deliverBody, createLengthHeader } from './deliverBody.js'
 import { MESSAGE_OVERHEAD_BYTES } from './forwardToOwner.js'
@@ -18,6 +19,8 @@
   owner: Owner
   /** Known losses of upstreams. */
   poison: PoisonGuard
+  /** Decides which requests a stopping owner may still send to upstreams. */
+  stopWindow: Pick<StopWindow, 'admits'>
   /** Takes bytes from the budget of the link to a region; false when it is used up. */
   spendLink: (toRegion: string, bytes: number) => boolean
   /** Head of the request, encoded as received. */
@@ -38,7 +41,7 @@
   response.once('close', () => { if (!response.writableEnded) cancellation.abort() })
   if (message.destroyed && !message.complete) return
   const deadline = performance.now() + remainingMilliseconds
-  const request: RelayedRequest = { ...head, body: forwarded.body, deadline, mayStart: () => true, cancelled: cancellation.signal }
+  const request: RelayedRequest = { ...head, body: forwarded.body, deadline, mayStart: () => forwarded.stopWindow.admits(deadline), cancelled: cancellation.signal }
   const { poison } = forwarded
   if (lostUpstreams.length > 0) poison.recordLoss({ fingerprint: head.fingerprint, lostUpstreams })
   const trySpend = (bytes: number): boolean => forwarded.spendLink(fromRegion, bytes)
--- a/src/transport/HttpListener.ts
+++ b/src/transport/HttpListener.ts
@@ -26,7 +26,7 @@
 export class HttpListener {
   readonly #server: Server
   readonly #options: HttpListenerOptions
-  #inFlight = 0
+  readonly #responses = new Set<ServerResponse>()
   #isClosing = false
 
   /** @param options - address, header limit and handlers */
@@ -44,7 +44,7 @@
 
   /** Number of requests in flight. */
   get inFlight (): number {
-    return this.#inFlight
+    return this.#responses.size
   }
 
   /**
@@ -71,9 +71,10 @@
     })
   }
 
-  /** From now on asks each caller, with `connection: close`, to close its connection after the answer. */
+  /** From now on asks each caller, with `connection: close`, to close its connection after the answer, also those of requests in flight. */
   beginClose (): void {
     this.#isClosing = true
+    for (const response of this.#responses) askToDisconnect(response)
   }
 
   /**
@@ -95,9 +96,9 @@
   }
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    this.#inFlight += 1
-    if (this.#isClosing) response.setHeader('connection', 'close')
-    response.once('close', () => { this.#inFlight -= 1 })
+    this.#responses.add(response)
+    if (this.#isClosing) askToDisconnect(response)
+    response.once('close', () => { this.#responses.delete(response) })
     await this.#options.handle(request, response)
   }
 
@@ -110,3 +111,7 @@
     socket.end(this.#options.onMalformed(status, error.code ?? 'malformed'))
   }
 }
+
+function askToDisconnect (response: ServerResponse): void {
+  if (!response.headersSent) response.setHeader('connection', 'close')
+}
--- a/src/types/RefusalReason.ts
+++ b/src/types/RefusalReason.ts
@@ -33,6 +33,8 @@
   Poison = 'poison',
   /** An upstream ended under the request, and a copy of it runs now or too little is known yet. */
   SuspectWaiting = 'suspect-waiting',
+  /** The host stops, and the answer might not be in before it ends. */
+  Stopping = 'stopping',
   Cancelled = 'cancelled',
   TicketMissing = 'ticket-missing',
   TicketInvalid = 'ticket-invalid',
