--- a/examples/platform/StandInUpstream.ts
+++ b/examples/platform/StandInUpstream.ts
@@ -6,12 +6,17 @@
   /** Method, URL and attempt identifier of each request that ran. */
   readonly runs: string[] = []
   readonly #id: string
+  readonly #runMilliseconds: number
   readonly #server: Server
   #sequence = 0
 
-  /** @param id - identifier of this instance */
-  constructor (id: string) {
+  /**
+   * @param id - identifier of this instance
+   * @param runMilliseconds - how long it works on each request
+   */
+  constructor (id: string, runMilliseconds = 0) {
     this.#id = id
+    this.#runMilliseconds = runMilliseconds
     this.#server = createServer((request, response) => { this.#answer(request, response) })
   }
 
@@ -48,6 +53,8 @@
       return
     }
     this.runs.push(`${request.method} ${request.url} ${attempt}`)
-    response.writeHead(200, { 'Response-Signature': 'made-here', 'Server-Load': '1,0,4' }).end('whole answer')
+    const finish = (): void => { response.writeHead(200, { 'Response-Signature': 'made-here', 'Server-Load': '1,0,4' }).end('whole answer') }
+    if (this.#runMilliseconds === 0) finish()
+    else setTimeout(finish, this.#runMilliseconds)
   }
 }
