Answer calls in flight before a control host stops

What callers saw: an operator whose order was on its way when a control host was stopped got no answer, though the order may have been accepted. Cause: after the hand-over of the leadership the process ended without waiting for open calls.

--- a/__tests__/platform/plannedStop.test.ts
+++ b/__tests__/platform/plannedStop.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { once } from 'node:events'
+import { connect } from 'node:net'
 import { test, type TestContext } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { composePlan } from '../../examples/platform/composePlan.js'
@@ -42,3 +43,28 @@
   if (entry.exitCode === null) await once(entry, 'exit')
   assert.equal(entry.exitCode, 0)
 })
+
+test('a control host that stops answers an order that was on its way', { timeout: TEST_TIMEOUT_MILLISECONDS }, async (context) => {
+  const { system } = await openSystem(context)
+  for (const number of [0, 1, 2]) {
+    const [host, port] = system.getControlAddress(number).split(':')
+    const body = composePlan(`0000000${number + 3}`, `0000000${number + 2}`)
+    const operator = connect({ host, port: Number(port) })
+    let text = ''
+    operator.on('data', (chunk) => { text += chunk.toString() })
+    operator.on('error', () => {})
+    await once(operator, 'connect')
+    operator.write(`POST /config/replace HTTP/1.1\r\nhost: control\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body.slice(0, -1)}`)
+    await sleep(50)
+    const closed = once(operator, 'close')
+    const control = system.getProcess(number)
+    control.kill('SIGTERM')
+    await sleep(300)
+    operator.write(body.slice(-1))
+    await closed
+    assert.match(text, /^HTTP\/1.1 200 /, `control host ${number}`)
+    if (control.exitCode === null) await once(control, 'exit')
+    system.startControlHost(number, false)
+    await waitUntil(async () => (await fetch(`http://${system.getControlAddress(number)}/config/fetch`)).status === 200)
+  }
+})
--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -99,10 +99,15 @@
     this.#stateFeed.open()
   }
 
-  /** Hands over the leadership, and stops. */
-  async stop (): Promise<void> {
+  /**
+   * Hands over the leadership, and stops.
+   *
+   * @param finishCalls - waits until calls in flight are answered; a change that was accepted is confirmed before the host stops
+   */
+  async stop (finishCalls: () => Promise<void> = async () => {}): Promise<void> {
     this.#groupManager.stop()
     await this.#replica.handOver()
+    await finishCalls()
     this.#registrySharer.stop()
     this.#crashes.stop()
     await this.#replica.stop()
