Close a connection on which an answer of another request came

What callers saw: after an upstream had written an answer once more, late, on a connection in use again, the request that met the copy got 502, and so did every later one on that connection: each read the answer of the one before it. None got another's answer, as the identifier shows that, but runs that had ended well were reported as unknown, and one-time requests may not be sent again.

Cause: an answer of another request was discarded after it had been read, and its connection stayed in the pool, one answer behind. Only refusals closed theirs. Change: the head of an answer is classified as it arrives; any that is not the upstream's answer to the request closes the connection. `classifyAnswer` takes the head, and `isRefusal` of UpstreamProtocol is gone.

--- a/src/entry/UpstreamProtocol.ts
+++ b/src/entry/UpstreamProtocol.ts
@@ -1,5 +1,5 @@
 import type { LoadReport } from '../placement/LoadReport.js'
-import type { ExchangeAnswer } from '../relay/exchange.js'
+import type { AnswerHead, ExchangeAnswer } from '../relay/exchange.js'
 import type { HeaderField } from '../relay/RelayedRequest.js'
 import type { EntryRequest } from './EntryRequest.js'
 
@@ -24,15 +24,8 @@
    * @returns the headers to send
    */
   composeHeaders (request: EntryRequest, upstream: string, remainingMilliseconds: number): HeaderField[]
-  /** @returns the meaning of an answer to the request */
-  classifyAnswer (request: EntryRequest, answer: ExchangeAnswer): AnswerKind
-  /**
-   * Refusals may carry no identifier, and a faulty upstream may write one again on a connection that is kept, where it would
-   * be taken for the answer to the next request.
-   *
-   * @returns whether the head of an answer says that the request did not run
-   */
-  isRefusal (status: number, headers: readonly HeaderField[]): boolean
+  /** @returns the meaning of an answer to the request, by its head */
+  classifyAnswer (request: EntryRequest, head: AnswerHead): AnswerKind
   /** @returns the load that the upstream reported with the answer, undefined if it reported none */
   readLoad (answer: ExchangeAnswer): LoadReport | undefined
 }
--- a/src/entry/UpstreamSender.ts
+++ b/src/entry/UpstreamSender.ts
@@ -103,7 +103,9 @@
       cancelled: request.cancelled,
       answerBufferBytes,
       closeConnection: false,
-      isHeadSufficient: (status, headers) => protocol.isRefusal(status, headers),
+      // A faulty upstream may write an answer or a refusal again on a connection that is kept. Whatever follows there would be
+      // taken for the answer to the next request, so that each later answer on it would go to the wrong request.
+      isHeadSufficient: (head) => protocol.classifyAnswer(request, head) !== AnswerKind.Own,
       mayWrite: () => stopWindow.admits(request.deadline) && this.#canStillUse(record)
     })
   }
--- a/src/hibiscusrelay.ts
+++ b/src/hibiscusrelay.ts
@@ -130,7 +130,7 @@
 export type { RankedCandidate } from './placement/RankedCandidate.js'
 export { RetryShare, type RetryBound } from './placement/RetryShare.js'
 export { UpstreamLoad } from './placement/UpstreamLoad.js'
-export type { ExchangeAnswer } from './relay/exchange.js'
+export type { AnswerHead, ExchangeAnswer } from './relay/exchange.js'
 
 // Choice of entry hosts and of owners.
 export type { ChoiceExplanation, ExplainedPool } from './steering/ChoiceExplanation.js'
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -64,7 +64,7 @@
     this.#status = status
     this.#headers = listHeaders(headers)
     this.#endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && !hasNoBody(this.#request.method, status)
-    if (this.#request.isHeadSufficient?.(status, this.#headers) === true) this.#endAtHead(controller)
+    if (this.#request.isHeadSufficient?.({ status, headers: this.#headers }) === true) this.#endAtHead(controller)
   }
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -20,11 +20,14 @@
   /** Whether to close the connection after the answer. */
   closeConnection: boolean
   /** Whether the head of an answer is all that is needed of it. Its connection is closed then; by default never. */
-  isHeadSufficient?: (status: number, headers: readonly HeaderField[]) => boolean
+  isHeadSufficient?: (head: AnswerHead) => boolean
   /** Called right before the first byte is written; false prevents it. */
   mayWrite: () => boolean
 }
 
+/** Status and headers of an answer. */
+export type AnswerHead = Pick<ExchangeAnswer, 'status' | 'headers'>
+
 /** The answer to an {@link ExchangeRequest}. */
 export interface ExchangeAnswer {
   status: number
