Take no refusal of another request for one's own in the daemon form

What callers saw: an upstream that wrote a refusal once more on a kept connection made the next request there look refused, so it was told `not-run` although it ran. Change: the owner reads only the head of a refusal and of an answer of another request, and closes that connection. All other connections to the upstream stay, which were replaced together before.

Before: relay/repeatedAnswer.test.ts red for the refusal (`not-run`, with a run at the upstream). The copy of an answer was handled before, as the test shows. After: both green.

--- a/src/relay/Owner.ts
+++ b/src/relay/Owner.ts
@@ -9,6 +9,7 @@
 import { createUpstreamRequest } from './createUpstreamRequest.js'
 import { exchange, type ExchangeAnswer } from './exchange.js'
 import { answerFailedExchange } from './answerFailedExchange.js'
+import { findEchoedRequest, isAnswerOfAnother } from './isAnswerOfAnother.js'
 import { isShed } from './isShed.js'
 import type { PoisonGuard, PoisonRecord } from './PoisonGuard.js'
 import type { PoolRegistry } from './PoolRegistry.js'
@@ -150,10 +151,8 @@
       upstream.avoid(AVOID_SHEDDING_MILLISECONDS)
       return refuse(RefusalReason.Shed)
     }
-    const echoed = answer.headers.find(({ name }) => name === 'hibiscusrelay-request')?.value
-    if (upstream.echoesRequest && echoed !== request.id) {
-      this.#options.log.error('answer-of-another-request', { step: Step.Answer, peer: upstream.address, request: request.id, echoed })
-      upstream.resetConnections()
+    if (isAnswerOfAnother(request, upstream, answer)) {
+      this.#options.log.error('answer-of-another-request', { step: Step.Answer, peer: upstream.address, request: request.id, echoed: findEchoedRequest(answer) })
       return answerUnknown(RefusalReason.AnswerLost)
     }
     this.#recordSuccess(request)
--- a/src/relay/Upstream.ts
+++ b/src/relay/Upstream.ts
@@ -33,7 +33,7 @@
   /** Time at which a request of this host last ended. */
   lastEndedAt: number | undefined
   readonly #connectionCount: number
-  #connections: Pool
+  readonly #connections: Pool
   #foreign: number
   #foreignUntil: number
   #grantUntil = -Infinity
@@ -64,13 +64,6 @@
     return performance.now() - this.#joinedAt
   }
 
-  /** Replaces its connections by new ones; requests in flight on the previous ones finish. */
-  resetConnections (): void {
-    const previous = this.#connections
-    this.#connections = this.#openConnections()
-    previous.close().catch(() => {})
-  }
-
   /** Number of requests of previous owners that are in flight. */
   get foreign (): number {
     return this.#countForeign(performance.now())
--- a/src/relay/createUpstreamRequest.ts
+++ b/src/relay/createUpstreamRequest.ts
@@ -1,4 +1,6 @@
 import type { ExchangeRequest } from './exchange.js'
+import { isAnswerOfAnother, REQUEST_HEADER } from './isAnswerOfAnother.js'
+import { isShed } from './isShed.js'
 import type { HeaderField, RelayedRequest } from './RelayedRequest.js'
 import type { Upstream } from './Upstream.js'
 
@@ -14,7 +16,7 @@
   const headers: HeaderField[] = [
     ...request.headers,
     { name: 'host', value: upstream.address },
-    { name: 'hibiscusrelay-request', value: request.id },
+    { name: REQUEST_HEADER, value: request.id },
     { name: 'hibiscusrelay-deadline', value: String(remainingMilliseconds) }
   ]
   if (request.key !== undefined) headers.push({ name: 'idempotency-key', value: request.key })
@@ -28,6 +30,8 @@
     cancelled: request.cancelled,
     answerBufferBytes,
     closeConnection: !upstream.echoesRequest,
+    // A faulty upstream may write an answer or a refusal again on a connection that is kept: nothing more is read from it.
+    isHeadSufficient: (head) => isShed(head) || isAnswerOfAnother(request, upstream, head),
     mayWrite: () => upstream.isGranted() && request.mayStart()
   }
 }
--- a/src/relay/isShed.ts
+++ b/src/relay/isShed.ts
@@ -1,4 +1,4 @@
-import type { ExchangeAnswer } from './exchange.js'
+import type { AnswerHead } from './exchange.js'
 
 const STATUS_UNAVAILABLE = 503
 
@@ -6,8 +6,8 @@
 export const SHED_HEADER = 'hibiscusrelay-shed'
 const SHED_VALUE = 'not-run'
 
-/** @returns whether the answer states that the upstream shed the request without running it */
-export function isShed (answer: ExchangeAnswer): boolean {
-  if (answer.status !== STATUS_UNAVAILABLE) return false
-  return answer.headers.some(({ name, value }) => name === SHED_HEADER && value === SHED_VALUE)
+/** @returns whether the head of an answer states that the upstream shed the request without running it */
+export function isShed ({ status, headers }: AnswerHead): boolean {
+  if (status !== STATUS_UNAVAILABLE) return false
+  return headers.some(({ name, value }) => name === SHED_HEADER && value === SHED_VALUE)
 }
