Count only voters towards the majority that holds a drain

What callers saw: an upstream that left could be acknowledged by a control host outside of any replica group alone, or by a learner and one voter too few; if those were lost, the upstream was in use again after its acknowledgement. Cause: the majority counted the asked host itself, whether it votes or not, and the majority of an empty group is one. Change: the host counts only if it votes; outside of a group nothing is acknowledged (503, the upstream asks another).

Before: two of three new tests in RegistrySharer.test.ts red. After: all green; a group of one still acknowledges by itself.

--- a/__tests__/registry/RegistrySharer.test.ts
+++ b/__tests__/registry/RegistrySharer.test.ts
@@ -12,8 +12,8 @@
 const silentLog = { info: () => {}, warn: () => {}, error: () => {} }
 const addresses = ['a', 'b', 'c', 'd', 'e']
 
-/** Five control hosts, each with a registry, on a paused clock. */
-function startControlHosts (context: TestContext) {
+/** Five control hosts, each with a registry, on a paused clock; those named are voters of the replica group. */
+function startControlHosts (context: TestContext, voters = addresses) {
   pauseClock(context)
   const network = new MemoryNetwork()
   const hosts = addresses.map((address) => {
@@ -26,8 +26,9 @@
       callPeer,
       registerHandler,
       listPeers: () => others,
-      listVoters: () => others,
-      majoritySize: () => 3,
+      listVoters: () => voters.filter((voter) => voter !== address),
+      isVoter: () => voters.includes(address),
+      majoritySize: () => Math.floor(voters.length / 2) + 1,
       hasLocalReport: () => true,
       describeSelf: () => ({ peerAddress: address, domain: address, region: 'r' }),
       onControlHost: () => {},
@@ -60,6 +61,27 @@
   }
 })
 
+test('a control host that does not vote does not count towards the majority that holds a drain', async (context) => {
+  const { network, hosts } = startControlHosts(context, ['a', 'b', 'c'])
+  for (const address of ['b', 'c']) network.removeHost(address)
+  const announced = hosts[4]!.registry.announce(createUpstreamRecord({ readiness: UpstreamReadiness.Draining }))
+  await advance(context, 2_000)
+  assert.equal(await announced, AnnouncementResult.NotHeld)
+})
+
+test('a control host outside of any group acknowledges no drain and no departure', async (context) => {
+  const { hosts } = startControlHosts(context, [])
+  const announced = hosts[0]!.registry.announce(createUpstreamRecord({ readiness: UpstreamReadiness.Draining }))
+  const removed = hosts[0]!.registry.remove('i-1', 1_000)
+  await advance(context, 2_000)
+  assert.deepEqual([await announced, await removed], [AnnouncementResult.NotHeld, AnnouncementResult.NotHeld])
+})
+
+test('a lone control host that is the whole group acknowledges a drain by itself', async (context) => {
+  const { hosts } = startControlHosts(context, ['a'])
+  assert.equal(await hosts[0]!.registry.announce(createUpstreamRecord({ readiness: UpstreamReadiness.Draining })), AnnouncementResult.Accepted)
+})
+
 test('a departure reaches hosts that do not know the upstream, and a late announcement does not undo it', async (context) => {
   const { hosts } = startControlHosts(context)
   const removed = hosts[1]!.registry.remove('i-1', 1_000)
--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -176,7 +176,8 @@
       callPeer,
       registerHandler,
       listPeers: () => this.#controlHosts.listPeers(),
-      listVoters: () => listVoters(this.#replica.status().configuration).map(({ address }) => address).filter((address) => address !== this.#options.settings().peerAddress),
+      listVoters: () => this.#listVoterAddresses().filter((address) => address !== this.#options.settings().peerAddress),
+      isVoter: () => this.#listVoterAddresses().includes(this.#options.settings().peerAddress),
       majoritySize: () => computeMajority(this.#replica.status().configuration),
       hasLocalReport: (name) => this.#stateFeed.hasRecentReport(name),
       describeSelf: () => this.#describeSelf(),
@@ -239,6 +240,10 @@
     return [...this.#options.settings().seeds, ...this.#replica.status().configuration.members.map(({ address }) => address)]
   }
 
+  #listVoterAddresses (): string[] {
+    return listVoters(this.#replica.status().configuration).map(({ address }) => address)
+  }
+
   #isKnownService (service: string): boolean {
     const { plan } = this.#planState
     return plan === undefined || plan.services.some(({ name }) => name === service)
--- a/src/registry/RegistrySharer.ts
+++ b/src/registry/RegistrySharer.ts
@@ -22,7 +22,9 @@
   listPeers: () => string[]
   /** @returns peer addresses of the other voting members of the replica group */
   listVoters: () => string[]
-  /** @returns number of voting members that form a majority, this one included */
+  /** @returns whether this control host is a voting member of the replica group */
+  isVoter: () => boolean
+  /** @returns number of voting members that form a majority */
   majoritySize: () => number
   /** @returns whether an entry host reports to this control host directly; only such reports are passed on */
   hasLocalReport: (name: string) => boolean
@@ -96,10 +98,10 @@
    * Sends a record to the other control hosts, and waits until a majority holds it.
    *
    * @param record - the changed record
-   * @returns whether a majority of the voting members, this one included, holds it in time
+   * @returns whether a majority of the voting members holds it in time; this host counts only if it votes
    */
   async shareWithMajority (record: UpstreamRecord): Promise<boolean> {
-    const neededConfirmations = this.#options.majoritySize() - 1
+    const neededConfirmations = this.#options.majoritySize() - (this.#options.isVoter() ? 1 : 0)
     if (neededConfirmations <= 0) return true
     const voters = this.#options.listVoters()
     for (const address of this.#options.listPeers()) if (!voters.includes(address)) this.#getOutbox(address).send(record).catch(() => {})
