Restore no upstream from a file that is older than the memory of departures

What callers saw: none yet; found by reading, after the report of servers that had left and were in use again. A control host that was down for long restored all upstreams of its recovery file as ready. Departures are remembered for two minutes by the other hosts, so for three seconds it told entry hosts that start anew of upstreams that had left long before, and passed them on to hosts that fetched its registry.

Change: the file tells when it was written and is written anew every 20 s; after more than a minute only departures, plan and evacuations are restored. Upstreams that run announce themselves within 1.5 s. Files of the earlier version are used as before.

Before: with the age limit taken out, the new test is red (the upstream is ready). After: green, and a file without changes for ten minutes still serves a restart.

--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -96,6 +96,7 @@
     this.#registrySharer.run().catch(onFailure)
     this.#crashes.start()
     this.#startedAt = performance.now()
+    this.#recoveryFile.start()
     this.#stateFeed.open()
   }
 
@@ -110,6 +111,7 @@
     await finishCalls()
     this.#registrySharer.stop()
     this.#crashes.stop()
+    this.#recoveryFile.stop()
     await this.#replica.stop()
   }
 
@@ -220,9 +222,9 @@
     const record = await this.#recoveryFile.read()
     if (record === undefined) return
     this.#planSource.restore(record)
-    this.#upstreamTable.restore(record.upstreams)
+    this.#upstreamTable.restore(record.upstreams, record.ageMilliseconds)
     this.#crashes.restore(record.crashes)
-    this.#options.log.info('state-recalled', { step: Step.Storage, plan: record.plan?.version, evacuated: record.evacuated.join(','), upstreams: record.upstreams.length })
+    this.#options.log.info('state-recalled', { step: Step.Storage, plan: record.plan?.version, evacuated: record.evacuated.join(','), upstreams: record.upstreams.length, age: record.ageMilliseconds })
   }
 
   /** Sends a change to the entry hosts, and writes it to the recovery file. */
--- a/src/control/RecoveryFile.ts
+++ b/src/control/RecoveryFile.ts
@@ -14,6 +14,9 @@
 /** Delay before a write, so that changes within it are written together: upstreams often change in groups. */
 const BATCH_DELAY_MILLISECONDS = 50
 
+/** Interval at which the file is written without a change, so that its age tells how long the host was down. */
+const REFRESH_INTERVAL_MILLISECONDS = 20_000
+
 /** State that a control host restores after a restart. */
 export interface RecoveryRecord extends PlanSource {
   upstreams: UpstreamRecord[]
@@ -21,6 +24,18 @@
   crashes?: CrashReport
 }
 
+/** State that was read after a restart. */
+export interface RestoredRecord extends RecoveryRecord {
+  /** Time since it was written, by the wall clock; 0 for files of earlier versions, which do not tell it. */
+  ageMilliseconds: number
+}
+
+/** Content of the file. */
+interface StoredRecord extends RecoveryRecord {
+  /** Unix time in milliseconds; files of earlier versions have none. */
+  writtenAt?: number
+}
+
 /** Dependencies of {@link RecoveryFile}. */
 export interface RecoveryFileOptions {
   files: FileOperations
@@ -39,6 +54,7 @@
   readonly #path: string
   #isWriteDue = false
   #isWriting = false
+  #refreshTimer: NodeJS.Timeout | undefined
 
   /** @param options - the state to store, and the folder for the file */
   constructor (options: RecoveryFileOptions) {
@@ -47,15 +63,25 @@
   }
 
   /** @returns the stored state, undefined when the file is missing or unreadable */
-  async read (): Promise<RecoveryRecord | undefined> {
+  async read (): Promise<RestoredRecord | undefined> {
     try {
-      return await readRecord<RecoveryRecord>(this.#options.files, this.#path)
+      const stored = await readRecord<StoredRecord>(this.#options.files, this.#path)
+      return stored === undefined ? undefined : { ...stored, ageMilliseconds: Math.max(0, Date.now() - (stored.writtenAt ?? Date.now())) }
     } catch (error) {
       this.#options.log.warn('recovery-unreadable', { step: Step.Storage, peer: this.#path, cause: String(error) })
       return undefined
     }
   }
 
+  /** Begins to write the file at intervals, until {@link stop}. */
+  start (): void {
+    this.#refreshTimer = setInterval(() => { this.scheduleWrite() }, REFRESH_INTERVAL_MILLISECONDS)
+  }
+
+  stop (): void {
+    clearInterval(this.#refreshTimer)
+  }
+
   /** Schedules a write of the present state, unless one is scheduled. A failed write is only logged. */
   scheduleWrite (): void {
     this.#isWriteDue = true
@@ -71,7 +97,8 @@
       await pause(BATCH_DELAY_MILLISECONDS)
       this.#isWriteDue = false
       const { files, describe } = this.#options
-      await writeFileAtomically(files, this.#path, encodeFrame(Buffer.from(JSON.stringify(describe()))))
+      const stored: StoredRecord = { ...describe(), writtenAt: Date.now() }
+      await writeFileAtomically(files, this.#path, encodeFrame(Buffer.from(JSON.stringify(stored))))
     }
   }
 }
--- a/src/registry/UpstreamTable.ts
+++ b/src/registry/UpstreamTable.ts
@@ -9,6 +9,8 @@
 
 /** Time within which a restored upstream must announce itself: two of its periods, during which it may have left unnoticed. */
 const RESTORED_GRACE_MILLISECONDS = 3_000
+/** Age up to which upstreams are restored: those that left in this time are still remembered by the other hosts. */
+const MAXIMUM_RESTORED_AGE_MILLISECONDS = RETENTION_MILLISECONDS / 2
 
 /** Timings of {@link UpstreamTable}. */
 export interface UpstreamTableTimings {
@@ -80,13 +82,16 @@
   }
 
   /**
-   * Restores the records from before a restart. Upstreams that do not announce themselves soon count as lost.
+   * Restores the records from before a restart. Upstreams that do not announce themselves soon count as lost. After a long
+   * time only departures are restored: other upstreams may have left, and no other host would know it any more.
    *
    * @param records - result of {@link describe} in the previous process run
+   * @param recordAgeMilliseconds - time since the records were described
    */
-  restore (records: readonly UpstreamRecord[]): void {
+  restore (records: readonly UpstreamRecord[], recordAgeMilliseconds: number): void {
+    const restored = recordAgeMilliseconds <= MAXIMUM_RESTORED_AGE_MILLISECONDS ? records : records.filter(isGone)
     const age = Math.max(0, this.#timings.lostMilliseconds - RESTORED_GRACE_MILLISECONDS)
-    for (const record of records) this.merge({ ...record, coldMilliseconds: record.coldMilliseconds + age }, age)
+    for (const record of restored) this.merge({ ...record, coldMilliseconds: record.coldMilliseconds + age }, age)
   }
 
   /** @returns all records, with the remaining time of their cold phases as of now */
