Keep the mark of an answer without length behind the daemon's hop

What callers saw: in the daemon form, an answer that only the end of the upstream's connection delimits reached the guest with a length, also if it had been cut off by an orderly close; of a one-time action it was stored and given again as the whole answer. Cause: the owner dropped the mark, the head between hosts did not carry it, and the guest interface wrote a length. Hosts of the earlier version leave the field out, as before.

--- a/src/guest/GuestInterface.ts
+++ b/src/guest/GuestInterface.ts
@@ -5,7 +5,7 @@
 import type { Log } from '../observe/Log.js'
 import { AnnouncementHandler } from '../relay/AnnouncementHandler.js'
 import { announcementSchema } from '../relay/Announcement.js'
-import { deliverBody, createLengthHeader } from '../relay/deliverBody.js'
+import { createLengthHeader, deliverAnswer } from '../relay/deliverBody.js'
 import type { Ingress } from '../relay/Ingress.js'
 import { isHopByHopHeader } from '../relay/isHopByHopHeader.js'
 import { answerUnknown, refuse } from '../relay/refuse.js'
@@ -138,8 +138,7 @@
     response.setHeader('hibiscusrelay-request', id)
     response.setHeader('hibiscusrelay-outcome', answer.outcome)
     if (answer.reason !== undefined) this.#setRefusalHeaders(response, answer.reason)
-    response.writeHead(answer.status, createLengthHeader(answer.body))
-    await deliverBody(answer.body, response)
+    await deliverAnswer(answer, response)
   }
 
   #setRefusalHeaders (response: ServerResponse, reason: RefusalReason): void {
--- a/src/relay/RelayHead.ts
+++ b/src/relay/RelayHead.ts
@@ -32,6 +32,8 @@
   lostUpstreams: string[]
   status: number
   headers: HeaderField[]
+  /** Whether the end of the upstream's connection delimits the body; absent from earlier versions. */
+  endsWithConnection?: boolean
   pool: AnswerReport | undefined
 }
 
