Apply the plan's limit on headers at entry hosts

What callers saw: headers up to 64 KB were taken and sent on, though the plan in force sets a lower limit. Cause: the parser's limit is set before a plan is known, and the plan's was never compared.

Before: headerLimit.test.ts red. After: green, and headers up to the limit pass.

--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -27,7 +27,7 @@
 import { UpstreamRuns } from './UpstreamRuns.js'
 import { UpstreamSender } from './UpstreamSender.js'
 
-/** Maximum size of the header of a request. It is set before a plan is known; the limit in the plan is not applied. */
+/** Maximum size of the header of a request for the parser, which is set before a plan with its own limit is known. */
 const MAXIMUM_HEADER_BYTES = 65_536
 /** Answers up to this size are buffered completely before they are passed on. */
 const MAXIMUM_BUFFERED_ANSWER_BYTES = 262_144
--- a/src/entry/GuestListener.ts
+++ b/src/entry/GuestListener.ts
@@ -10,6 +10,7 @@
 import { refuse } from '../relay/refuse.js'
 import { getRefusalStatus } from '../relay/getRefusalStatus.js'
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
+import { countHeadBytes } from '../guest/countHeadBytes.js'
 import { listEndToEndHeaders } from '../guest/listEndToEndHeaders.js'
 import { readBodyUntil } from '../transport/readBodyUntil.js'
 import { endAfterRequest } from '../transport/endAfterRequest.js'
@@ -86,6 +87,7 @@
     const arrivedAt = performance.now()
     const { plan, routes } = known
     if (plan === undefined || routes === undefined) return RefusalReason.NoPlan
+    if (countHeadBytes(message) > plan.limits.headerBytes) return RefusalReason.HeadersTooLarge
     const path = message.url ?? ''
     const route = routes.find((message.headers.host ?? '').replace(/:\d+$/, '').toLowerCase(), path)
     if (route === undefined) return RefusalReason.UnknownPath
