Open a retired replica anew without ending its process

Cause: a removed replica could only begin anew in a new process. Change: PlanReplica owns the replica and its group manager; it stops the old one, makes the folder that of a new replica in one atomic write, and opens that. The plan stays known to entry hosts until the log brings it again. Only a failure of that ends the process.

Before: retiredReplica.test.ts red (it waited for 60 s, the host never joined again). After: green in 10 s: announcements are accepted all along, the plan stays known, the host joins and orders pass through it; no process is ended.

--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -1,7 +1,4 @@
 import { randomUUID } from 'node:crypto'
-import { rm } from 'node:fs/promises'
-import { computeMajority, listVoters } from '../agreement/ReplicaConfiguration.js'
-import { ReplicatedLog } from '../agreement/ReplicatedLog.js'
 import { diskFiles } from '../agreement/storage/diskFiles.js'
 import { CrashExchange } from '../crashes/CrashExchange.js'
 import { StateFeed } from '../follow/StateFeed.js'
@@ -16,17 +13,13 @@
 import { UpstreamRegistry } from '../registry/UpstreamRegistry.js'
 import { UpstreamTable } from '../registry/UpstreamTable.js'
 import { Step } from '../types/Step.js'
-import { pause } from '../utils/pause.js'
 import type { ControlHostOptions } from './ControlHostOptions.js'
 import { ControlHostTable } from './ControlHostTable.js'
+import { PlanReplica } from './PlanReplica.js'
 import { RecoveryFile } from './RecoveryFile.js'
-import { ReplicaGroupManager } from './ReplicaGroupManager.js'
 
 /** Number of announcement periods without an announcement after which an upstream counts as lost. */
 const LOST_ANNOUNCEMENT_PERIODS = 3
-/** Timeout for this replica to apply what the leader has committed: one heartbeat of the leader, and some more. */
-const APPLY_TIMEOUT_MILLISECONDS = 800
-const APPLY_POLL_INTERVAL_MILLISECONDS = 10
 /** Time after which a started control host knows all entry hosts: each report is passed on within half a second. */
 const DIRECTORY_WARM_UP_MILLISECONDS = 1_200
 
@@ -39,11 +32,10 @@
   readonly #planState = new PlanState()
   readonly #upstreamTable: UpstreamTable
   readonly #crashes: CrashExchange
-  readonly #replica: ReplicatedLog<PlanEntry, PlanResult>
+  readonly #replica: PlanReplica
   readonly #controlHosts: ControlHostTable
   readonly #stateFeed: StateFeed
   readonly #registrySharer: RegistrySharer
-  readonly #groupManager: ReplicaGroupManager
   readonly #recoveryFile: RecoveryFile
   readonly #planSource = new RestoredPlans(this.#planState)
   #startedAt = Number.POSITIVE_INFINITY
@@ -58,12 +50,11 @@
     this.#crashes = this.#createCrashExchange()
     this.#stateFeed = this.#createFeed()
     this.#registrySharer = this.#createSharer()
-    this.#groupManager = this.#createGroupManager()
     this.#recoveryFile = this.#createRecoveryFile()
     this.plans = new PlanRegistry({
       state: this.#planState,
       propose: (entry) => this.#replica.propose(entry),
-      waitApplied: (index) => this.#waitUntilApplied(index),
+      waitApplied: (index) => this.#replica.waitUntilApplied(index),
       log: options.log
     })
     this.upstreams = new UpstreamRegistry({
@@ -84,14 +75,13 @@
   async open (): Promise<void> {
     await this.#restoreState()
     await this.#replica.open()
-    this.#replica.start()
   }
 
   /** Joins the replica group, merges the registries of the peers, and begins to answer entry hosts. */
   async start (): Promise<void> {
     const { log } = this.#options
     const onFailure = (error: unknown): void => { log.error('control-task-failed', { step: Step.Registry, cause: String(error) }) }
-    this.#groupManager.run().catch(onFailure)
+    this.#replica.manageGroup()
     await this.#registrySharer.fetchFromPeers()
     this.#registrySharer.run().catch(onFailure)
     this.#crashes.start()
@@ -106,7 +96,6 @@
    * @param finishCalls - waits until calls in flight are answered; a change that was accepted is confirmed before the host stops
    */
   async stop (finishCalls: () => Promise<void> = async () => {}): Promise<void> {
-    this.#groupManager.stop()
     await this.#replica.handOver()
     await finishCalls()
     this.#registrySharer.stop()
@@ -115,27 +104,41 @@
     await this.#replica.stop()
   }
 
-  #createReplica (): ReplicatedLog<PlanEntry, PlanResult> {
-    const { settings, callPeer, registerHandler, random, log, counters } = this.#options
-    return new ReplicatedLog<PlanEntry, PlanResult>({
-      folder: settings().dataFolder,
-      files: diskFiles,
-      address: settings().peerAddress,
-      callPeer,
-      registerHandler,
-      apply: (entry, index) => this.#apply(entry, index),
-      snapshot: () => this.#planState.snapshot(),
-      restore: (stored) => {
-        this.#planState.restore(stored as StoredPlanState | undefined)
-        this.#publishChange()
+  #createReplica (): PlanReplica {
+    const { settings, callPeer, registerHandler, random, restart, log, counters } = this.#options
+    const { dataFolder, peerAddress, isFirstStart } = settings()
+    return new PlanReplica({
+      replica: {
+        folder: dataFolder,
+        files: diskFiles,
+        address: peerAddress,
+        callPeer,
+        registerHandler,
+        apply: (entry, index) => this.#apply(entry, index),
+        snapshot: () => this.#planState.snapshot(),
+        restore: (stored) => { this.#restorePlans(stored as StoredPlanState | undefined) },
+        random,
+        log,
+        counters
       },
-      random,
-      makeIdentity: randomUUID,
-      log,
-      counters
+      group: { seeds: () => settings().seeds, isFirstStart, listPeers: () => this.#controlHosts.listPeers(), desiredVoters: () => settings().wantedVoters },
+      onReset: () => { this.#resetPlans() },
+      onFailure: restart
     })
   }
 
+  #restorePlans (stored: StoredPlanState | undefined): void {
+    this.#planState.restore(stored)
+    this.#publishChange()
+  }
+
+  /** Keeps the plan known to entry hosts until the log brings it again. */
+  #resetPlans (): void {
+    const { plan, evacuated, evacuationRevision } = this.#planSource
+    this.#planSource.restore({ plan, evacuated, evacuationRevision })
+    this.#planState.restore(undefined)
+  }
+
   #apply (entry: PlanEntry, index: number): PlanResult {
     const previousVersion = this.#planState.plan?.version
     const result = this.#planState.apply(entry, index)
@@ -152,7 +155,7 @@
       upstreams: this.#upstreamTable,
       entryHosts: this.entryHosts,
       crashes: this.#crashes.table,
-      isCurrent: () => this.#replica.status().isCurrent,
+      isCurrent: () => this.#replica.status.isCurrent,
       listControlHosts: () => [this.#describeSelf(), ...this.#controlHosts.listOthers()],
       registerHandler: this.#options.registerHandler
     })
@@ -178,9 +181,9 @@
       callPeer,
       registerHandler,
       listPeers: () => this.#controlHosts.listPeers(),
-      listVoters: () => this.#listVoterAddresses().filter((address) => address !== this.#options.settings().peerAddress),
-      isVoter: () => this.#listVoterAddresses().includes(this.#options.settings().peerAddress),
-      majoritySize: () => computeMajority(this.#replica.status().configuration),
+      listVoters: () => this.#replica.listOtherVoters(),
+      isVoter: () => this.#replica.isVoter,
+      majoritySize: () => this.#replica.majoritySize,
       hasLocalReport: (name) => this.#stateFeed.hasRecentReport(name),
       describeSelf: () => this.#describeSelf(),
       onControlHost: (host) => { this.#controlHosts.recordContact(host) },
@@ -189,22 +192,6 @@
     })
   }
 
-  #createGroupManager (): ReplicaGroupManager {
-    const { settings, callPeer, log, restart } = this.#options
-    const { peerAddress, isFirstStart, dataFolder } = settings()
-    return new ReplicaGroupManager({
-      replica: this.#replica,
-      address: peerAddress,
-      seeds: () => settings().seeds,
-      isFirstStart,
-      listPeers: () => this.#controlHosts.listPeers(),
-      desiredVoters: () => settings().wantedVoters,
-      callPeer,
-      onRetired: () => { this.#replica.stop().then(() => rm(dataFolder, { recursive: true })).then(restart, restart) },
-      log
-    })
-  }
-
   #createRecoveryFile (): RecoveryFile {
     const { settings, log } = this.#options
     return new RecoveryFile({
@@ -239,24 +226,11 @@
   }
 
   #listSeedsAndMembers (): string[] {
-    return [...this.#options.settings().seeds, ...this.#replica.status().configuration.members.map(({ address }) => address)]
-  }
-
-  #listVoterAddresses (): string[] {
-    return listVoters(this.#replica.status().configuration).map(({ address }) => address)
+    return [...this.#options.settings().seeds, ...this.#replica.status.configuration.members.map(({ address }) => address)]
   }
 
   #isKnownService (service: string): boolean {
     const { plan } = this.#planState
     return plan === undefined || plan.services.some(({ name }) => name === service)
   }
-
-  async #waitUntilApplied (index: number): Promise<boolean> {
-    const deadline = performance.now() + APPLY_TIMEOUT_MILLISECONDS
-    while (this.#replica.status().appliedIndex < index) {
-      if (performance.now() > deadline) return false
-      await pause(APPLY_POLL_INTERVAL_MILLISECONDS)
-    }
-    return true
-  }
 }
