Compress calls between hosts

Only answers were compressed.

Change: a host says in its answers that it accepts compressed calls (RFC 7694), and callers compress bodies of 1 KB or more for peers that do. Hosts of the earlier version do not say so and get what they know; a host that is started again with it is noticed by its next answer. Corrupt or oversized bodies are refused (400).

--- a/__tests__/transport/CallCollector.test.ts
+++ b/__tests__/transport/CallCollector.test.ts
@@ -65,7 +65,7 @@
   collector.onResponseData(controller, Buffer.from('{"a":'))
   collector.onResponseData(controller, Buffer.from('1}'))
   collector.onResponseEnd()
-  assert.deepEqual(await collector.answer, { status: 200, text: '{"a":1}' })
+  assert.deepEqual(await collector.answer, { status: 200, text: '{"a":1}', acceptedEncoding: '' })
   await advance(context, 100)
   assert.equal(aborted.length, 0)
 })
--- a/__tests__/transport/peerCalls.test.ts
+++ b/__tests__/transport/peerCalls.test.ts
@@ -7,6 +7,7 @@
 import { PeerClient } from '../../src/transport/PeerClient.js'
 import { PeerServer } from '../../src/transport/PeerServer.js'
 import { PeerSignature, SIGNATURE_HEADER } from '../../src/transport/PeerSignature.js'
+import { readBody } from '../../src/transport/readBody.js'
 import { PeerMethod } from '../../src/types/PeerMethod.js'
 import { RefusalReason } from '../../src/types/RefusalReason.js'
 import { pauseClock } from '../support/pauseClock.js'
@@ -101,3 +102,49 @@
     await assert.rejects(localClient.call(LOCAL_ADDRESS, method, {}, 50.5), (error) => error instanceof PeerCallError && error.refused === refused && error.peer === LOCAL_ADDRESS)
   })
 }
+
+/** A message as control hosts exchange them: many entries of the same form. */
+const LARGE_PARAMETERS = { number: 4, entries: Array.from({ length: 60 }, (_, number) => ({ name: `entry-oviedo-${number}`, domain: 'oviedo', region: 'asturias', guestAddress: `10.1.0.${number}:8144`, isReady: true })) }
+const LARGE_BYTES = JSON.stringify(LARGE_PARAMETERS).length
+
+test('large calls are compressed once the peer has said that it accepts that', async () => {
+  const sender = new PeerClient(new PeerSignature(KEY), () => ADDRESS)
+  const sizes: number[] = []
+  for (let call = 0; call < 2; call += 1) {
+    const before = sender.bytesSent
+    assert.deepEqual(await sender.call('host:1', PeerMethod.Probe, LARGE_PARAMETERS, 1_000), { twice: 8 })
+    sizes.push(sender.bytesSent - before)
+  }
+  await sender.close()
+  assert.ok(sizes[0]! >= LARGE_BYTES)
+  assert.ok(sizes[1]! < LARGE_BYTES / 5, `${sizes[1]} of ${sizes[0]} bytes`)
+})
+
+test('calls to a peer of an earlier version, which does not say so, are never compressed', async () => {
+  const address = '127.78.0.2:7100'
+  const encodings: unknown[] = []
+  const earlier = new HttpListener({
+    address,
+    headerBytes: 16_384,
+    handle: async (message, response) => {
+      encodings.push(message.headers['content-encoding'])
+      const { id } = JSON.parse((await readBody(message, 100_000))!.toString()) as { id: number }
+      response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify({ jsonrpc: '2.0', id, result: 'earlier' }))
+    },
+    onMalformed: () => ''
+  })
+  await earlier.open()
+  const sender = new PeerClient(new PeerSignature(KEY), () => address)
+  for (let call = 0; call < 2; call += 1) assert.equal(await sender.call('host:2', PeerMethod.Probe, LARGE_PARAMETERS, 1_000), 'earlier')
+  await sender.close()
+  await earlier.closeWithin(0)
+  earlier.destroy()
+  assert.deepEqual(encodings, [undefined, undefined])
+})
+
+test('a compressed call that is corrupt is refused', async () => {
+  const body = Buffer.from('not compressed')
+  const answer = await request(`http://${ADDRESS}/rpc`, { method: 'POST', headers: { 'content-encoding': 'gzip', [SIGNATURE_HEADER]: new PeerSignature(KEY).sign({ path: '/rpc', head: '', body }) }, body })
+  await answer.body.dump()
+  assert.equal(answer.statusCode, 400)
+})
--- a/src/transport/CallCollector.ts
+++ b/src/transport/CallCollector.ts
@@ -1,6 +1,6 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
-import { decodeAnswer, ANSWER_ENCODING, type EncodedAnswer } from './encodeAnswer.js'
+import { decodeBody, BODY_ENCODING, type EncodedBody } from './encodeBody.js'
 
 /**
  * Maximum total duration of a call, in multiples of its timeout. Each part of the answer restarts the timeout, because a slow
@@ -12,6 +12,8 @@
 export interface CallAnswer {
   status: number
   text: string
+  /** Content encoding that the peer accepts for calls (RFC 7694), empty if it does not say so. */
+  acceptedEncoding: string
 }
 
 /** Collects the answer to one call of a peer, and aborts the call when no part of the answer arrives within the timeout. */
@@ -26,7 +28,8 @@
   #controller: Dispatcher.DispatchController | undefined
   #timeoutError: Error | undefined
   #status = 0
-  #encoding: EncodedAnswer['encoding']
+  #encoding: EncodedBody['encoding']
+  #acceptedEncoding = ''
   readonly #deadline: number
 
   /** @param timeoutMilliseconds - maximum wait for the start of the answer, and then for each further part of it */
@@ -48,7 +51,8 @@
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
     this.#status = status
-    if (headers['content-encoding'] === ANSWER_ENCODING) this.#encoding = ANSWER_ENCODING
+    if (headers['content-encoding'] === BODY_ENCODING) this.#encoding = BODY_ENCODING
+    this.#acceptedEncoding = String(headers['accept-encoding'] ?? '')
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -60,7 +64,7 @@
   onResponseEnd (): void {
     clearTimeout(this.#timer)
     try {
-      this.#resolve({ status: this.#status, text: decodeAnswer({ body: Buffer.concat(this.#chunks), encoding: this.#encoding }) })
+      this.#resolve({ status: this.#status, text: decodeBody({ body: Buffer.concat(this.#chunks), encoding: this.#encoding }), acceptedEncoding: this.#acceptedEncoding })
     } catch (error) {
       this.#reject(error as Error)
     }
--- a/src/transport/PeerClient.ts
+++ b/src/transport/PeerClient.ts
@@ -4,7 +4,7 @@
 import { PeerCallError } from '../errors/PeerCallError.js'
 import type { PeerMethod } from '../types/PeerMethod.js'
 import { CallCollector } from './CallCollector.js'
-import { ANSWER_ENCODING } from './encodeAnswer.js'
+import { BODY_ENCODING, encodeBody } from './encodeBody.js'
 import { callLocalHost, type LocalHost } from './callLocalHost.js'
 import { PeerSignature, SIGNATURE_HEADER } from './PeerSignature.js'
 
@@ -21,6 +21,8 @@
   readonly #signature: PeerSignature
   readonly #dialAddress: (address: string) => string
   readonly #localHost: LocalHost | undefined
+  /** What each peer said last; one that was started again with an earlier version accepts nothing. */
+  readonly #acceptedEncodingsByAddress = new Map<string, string>()
   #bytesSent = 0
 
   /**
@@ -62,20 +64,23 @@
     await this.#agent.destroy()
   }
 
-  async #post (address: string, body: string, timeoutMilliseconds: number): Promise<JSONRPCResponse> {
+  async #post (address: string, text: string, timeoutMilliseconds: number): Promise<JSONRPCResponse> {
+    const { body, encoding } = encodeBody(text, this.#acceptedEncodingsByAddress.get(address) ?? '')
+    const encodingHeader = encoding === undefined ? {} : { 'content-encoding': encoding }
     this.#bytesSent += body.length
     const collector = new CallCollector(timeoutMilliseconds)
     this.#agent.dispatch({
       origin: `http://${this.#dialAddress(address)}`,
       path: RPC_PATH,
       method: 'POST',
-      headers: { 'content-type': 'application/json', 'accept-encoding': ANSWER_ENCODING, [SIGNATURE_HEADER]: this.#signature.sign({ path: RPC_PATH, head: '', body }) },
+      headers: { 'content-type': 'application/json', 'accept-encoding': BODY_ENCODING, ...encodingHeader, [SIGNATURE_HEADER]: this.#signature.sign({ path: RPC_PATH, head: '', body }) },
       body,
       headersTimeout: 0,
       bodyTimeout: 0
     }, collector)
-    const { status, text } = await collector.answer
-    if (status !== STATUS_OK) throw new Error(`status ${status}`)
-    return JSON.parse(text) as JSONRPCResponse
+    const answer = await collector.answer
+    this.#acceptedEncodingsByAddress.set(address, answer.acceptedEncoding)
+    if (answer.status !== STATUS_OK) throw new Error(`status ${answer.status}`)
+    return JSON.parse(answer.text) as JSONRPCResponse
   }
 }
--- a/src/transport/PeerServer.ts
+++ b/src/transport/PeerServer.ts
@@ -8,7 +8,7 @@
 import { RPC_PATH } from './PeerClient.js'
 import type { PeerSignature } from './PeerSignature.js'
 import { SIGNATURE_HEADER } from './PeerSignature.js'
-import { encodeAnswer } from './encodeAnswer.js'
+import { BODY_ENCODING, decodeBody, encodeBody } from './encodeBody.js'
 import { readBody } from './readBody.js'
 import { RELAY_HEAD_HEADER, RELAY_PATH } from './relayPath.js'
 
@@ -75,10 +75,15 @@
       this.#refuse(response, 404, RefusalReason.UnknownPath)
       return
     }
-    const text = JSON.stringify(await this.#rpcServer.receiveJSON(body.toString()))
-    const answer = encodeAnswer(text, String(request.headers['accept-encoding'] ?? ''))
+    const call = decodeCall(request, body)
+    if (call === undefined) {
+      this.#refuse(response, 400, RefusalReason.BadRequest)
+      return
+    }
+    const text = JSON.stringify(await this.#rpcServer.receiveJSON(call))
+    const answer = encodeBody(text, String(request.headers['accept-encoding'] ?? ''))
     const encodingHeader = answer.encoding === undefined ? {} : { 'content-encoding': answer.encoding }
-    response.writeHead(200, { 'content-type': 'application/json', ...encodingHeader }).end(answer.body)
+    response.writeHead(200, { 'content-type': 'application/json', 'accept-encoding': BODY_ENCODING, ...encodingHeader }).end(answer.body)
   }
 
   #refuse (response: ServerResponse, status: number, reason: RefusalReason): void {
@@ -86,3 +91,13 @@
     response.writeHead(status, { 'content-type': 'application/json', connection: 'close' }).end(JSON.stringify({ reason }))
   }
 }
+
+/** @returns the call as JSON text, undefined when its compressed body is corrupt or too large */
+function decodeCall (request: IncomingMessage, body: Buffer): string | undefined {
+  try {
+    return decodeBody({ body, encoding: request.headers['content-encoding'] === BODY_ENCODING ? BODY_ENCODING : undefined })
+  } catch {
+    // The caller refuses the call and counts it.
+    return undefined
+  }
+}
