Send less between control hosts of different regions

Change: control hosts of another region get renewals and reports of entry hosts once a second, not twice; changes go at once as before. Ages go with them, so a silent upstream is lost in the same time, and one lost message loses none. Answers between hosts leave out headers that HTTP/1.1 does not need (about 100 of some 500 bytes).

Tests: RegistrySharer.test.ts counts messages (6 and 12 in 6 s; before 12 and 12), and takes a message away.

--- a/__tests__/registry/RegistrySharer.test.ts
+++ b/__tests__/registry/RegistrySharer.test.ts
@@ -12,21 +12,23 @@
 const silentLog = { info: () => {}, warn: () => {}, error: () => {} }
 const addresses = ['a', 'b', 'c', 'd', 'e']
 
-/** Five control hosts, each with a registry, on a paused clock; those named are voters of the replica group. */
-function startControlHosts (context: TestContext, voters = addresses) {
+/** Five control hosts, each with a registry, on a paused clock; the named ones are voters of the replica group, or in another region. */
+function startControlHosts (context: TestContext, voters = addresses, remote: string[] = []) {
   pauseClock(context)
   const network = new MemoryNetwork()
   const hosts = addresses.map((address) => {
     const { callPeer, registerHandler } = network.addHost(address)
     const upstreams = new UpstreamTable({ lostMilliseconds: 4_500 })
     const others = addresses.filter((other) => other !== address)
+    const entryHosts = new EntryHostTable()
     const sharer = new RegistrySharer({
       upstreams,
-      entryHosts: new EntryHostTable(),
+      entryHosts,
       callPeer,
       registerHandler,
       listPeers: () => others,
       listVoters: () => voters.filter((voter) => voter !== address),
+      isRemote: (other) => remote.includes(other) !== remote.includes(address),
       isVoter: () => voters.includes(address),
       majoritySize: () => Math.floor(voters.length / 2) + 1,
       hasLocalReport: () => true,
@@ -36,7 +38,7 @@
       log: silentLog
     })
     const registry = new UpstreamRegistry({ upstreams, sharer, isKnownService: () => true, onChange: () => {}, log: silentLog })
-    return { upstreams, sharer, registry }
+    return { upstreams, entryHosts, sharer, registry }
   })
   return { network, hosts }
 }
@@ -104,3 +106,39 @@
   await fetched
   assert.equal(hosts[3]!.upstreams.get('i-1')?.record.sequence, 1)
 })
+
+/** Announces an upstream to the first host as often as upstreams do, and sweeps all tables as the hosts do. */
+async function renewUpstream (context: TestContext, hosts: ReturnType<typeof startControlHosts>['hosts'], milliseconds: number): Promise<void> {
+  for (let passed = 0; passed < milliseconds; passed += 1_500) {
+    await hosts[0]!.registry.announce(createUpstreamRecord({ sequence: 100 + Math.round(performance.now()) }))
+    await advance(context, 1_500, 50)
+  }
+}
+
+test('control hosts of another region get one message a second, those of the same region two', async (context) => {
+  const { network, hosts } = startControlHosts(context, addresses, ['d', 'e'])
+  const reporting = setInterval(() => { hosts[0]!.entryHosts.recordReport({ name: 'entry-1', domain: 'a', region: 'r', guestAddress: '127.0.0.9:7144', isReady: true, demand: {} }) }, 100)
+  hosts[0]!.sharer.run().catch(() => {})
+  await advance(context, 2_000, 50)
+  network.callsByReceiver.clear()
+  await advance(context, 6_000, 50)
+  hosts[0]!.sharer.stop()
+  clearInterval(reporting)
+  assert.equal(network.callsByReceiver.get('b'), 12)
+  assert.equal(network.callsByReceiver.get('d'), 6)
+})
+
+test('an upstream that announces itself is never lost in another region, even when a message is, and a silent one is lost in the same time', async (context) => {
+  const { network, hosts } = startControlHosts(context, addresses, ['d', 'e'])
+  for (const { sharer } of hosts) sharer.run().catch(() => {})
+  await renewUpstream(context, hosts, 6_000)
+  for (const receiver of ['d', 'e']) network.cut('a', receiver)
+  await advance(context, 1_000, 50)
+  network.heal()
+  await renewUpstream(context, hosts, 6_000)
+  for (const { upstreams } of hosts) assert.equal(upstreams.get('i-1')!.isLost, false)
+  const silentSince = performance.now() - 1_500
+  while (!hosts.every(({ upstreams }) => upstreams.get('i-1')!.isLost)) await advance(context, 50, 50)
+  hosts.forEach(({ sharer }) => { sharer.stop() })
+  assert.ok(performance.now() - silentSince <= 5_100, `${performance.now() - silentSince} ms`)
+})
--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -181,6 +181,7 @@
       callPeer,
       registerHandler,
       listPeers: () => this.#controlHosts.listPeers(),
+      isRemote: (address) => this.#isRemote(address),
       listVoters: () => this.#replica.listOtherVoters(),
       isVoter: () => this.#replica.isVoter,
       majoritySize: () => this.#replica.majoritySize,
@@ -225,6 +226,11 @@
     return { peerAddress, domain, region }
   }
 
+  #isRemote (address: string): boolean {
+    const region = this.#controlHosts.findRegion(address)
+    return region !== undefined && region !== this.#options.settings().region
+  }
+
   #listSeedsAndMembers (): string[] {
     return [...this.#options.settings().seeds, ...this.#replica.status.configuration.members.map(({ address }) => address)]
   }
--- a/src/control/ControlHostTable.ts
+++ b/src/control/ControlHostTable.ts
@@ -30,6 +30,11 @@
     return [...new Set([...this.#listSeedsAndMembers(), ...this.#contactsByAddress.keys()])].filter((address) => address !== this.#localAddress)
   }
 
+  /** @returns region of a control host, undefined until it has sent a message */
+  findRegion (address: string): string | undefined {
+    return this.#contactsByAddress.get(address)?.host.region
+  }
+
   /** @returns all other control hosts, with their locations if they have sent them */
   listOthers (): ControlHost[] {
     return this.listPeers().map((peerAddress) => this.#contactsByAddress.get(peerAddress)?.host ?? { peerAddress, domain: undefined, region: undefined })
--- a/src/registry/RegistrySharer.ts
+++ b/src/registry/RegistrySharer.ts
@@ -20,6 +20,8 @@
   registerHandler: RegisterPeerHandler
   /** @returns peer addresses of the other control hosts */
   listPeers: () => string[]
+  /** @returns whether a control host is in another region than this one */
+  isRemote: (address: string) => boolean
   /** @returns peer addresses of the other voting members of the replica group */
   listVoters: () => string[]
   /** @returns whether this control host is a voting member of the replica group */
@@ -38,6 +40,8 @@
 
 /** Interval of the messages that renew upstreams and entry hosts at the other control hosts; several fit into the silence after which an upstream counts as lost. */
 const SHARE_INTERVAL_MILLISECONDS = 500
+/** Number of these intervals between two messages to a control host in another region, whose links are narrow. */
+const INTERVALS_PER_REMOTE_MESSAGE = 2
 /** Timeout for fetching the full registry of another control host. */
 const FETCH_TIMEOUT_MILLISECONDS = 1_000
 /** Maximum age of the entry host reports that are passed on to other control hosts. */
@@ -58,9 +62,11 @@
 
   /** Sends the periodic messages and marks silent upstreams as lost, until {@link stop}. */
   async run (): Promise<void> {
+    const { listPeers, isRemote } = this.#options
     this.#isRunning = true
-    while (this.#isRunning) {
-      for (const address of this.#options.listPeers()) this.#getOutbox(address).flush()
+    for (let interval = 0; this.#isRunning; interval += 1) {
+      const isRemoteDue = interval % INTERVALS_PER_REMOTE_MESSAGE === 0
+      for (const address of listPeers()) if (isRemoteDue || !isRemote(address)) this.#getOutbox(address).flush()
       const lost = this.#options.upstreams.sweep()
       for (const id of lost) this.#options.log.warn('upstream-silent', { step: Step.Registry, peer: id })
       if (lost.length > 0) this.#options.onChange()
--- a/src/transport/PeerServer.ts
+++ b/src/transport/PeerServer.ts
@@ -83,7 +83,8 @@
     const text = JSON.stringify(await this.#rpcServer.receiveJSON(call))
     const answer = encodeBody(text, String(request.headers['accept-encoding'] ?? ''))
     const encodingHeader = answer.encoding === undefined ? {} : { 'content-encoding': answer.encoding }
-    response.writeHead(200, { 'content-type': 'application/json', 'accept-encoding': BODY_ENCODING, ...encodingHeader }).end(answer.body)
+    omitOptionalHeaders(response)
+    response.writeHead(200, { 'content-type': 'application/json', 'content-length': answer.body.length, 'accept-encoding': BODY_ENCODING, ...encodingHeader }).end(answer.body)
   }
 
   #refuse (response: ServerResponse, status: number, reason: RefusalReason): void {
@@ -92,6 +93,13 @@
   }
 }
 
+/** Hosts call each other many times a second, and most answers are shorter than the headers that the runtime adds. */
+function omitOptionalHeaders (response: ServerResponse): void {
+  response.sendDate = false
+  // An HTTP/1.1 connection stays open by default; a listener that stops has set this header.
+  if (!response.hasHeader('connection')) response.removeHeader('connection')
+}
+
 /** @returns the call as JSON text, undefined when its compressed body is corrupt or too large */
 function decodeCall (request: IncomingMessage, body: Buffer): string | undefined {
   try {
