--- a/src/control/ControlHostOptions.ts
+++ b/src/control/ControlHostOptions.ts
@@ -23,7 +23,7 @@
   settings: () => ControlHostSettings
   callPeer: CallPeer
   registerHandler: RegisterPeerHandler
-  /** Ends the process, which is then started again. */
+  /** Ends the process, which is then started again; called when a replica that was removed cannot begin anew in place. */
   restart: () => void
   random: () => number
   counters: Counters
