Fail a call whose answer names no call

A peer that can't read a call answers without its identifier; the library drops such an answer, and the call never ended.

Before: the new test in peerCalls.test.ts hung (ended after 60 s). After: it rejects.

--- a/__tests__/transport/peerCalls.test.ts
+++ b/__tests__/transport/peerCalls.test.ts
@@ -148,3 +148,19 @@
   await answer.body.dump()
   assert.equal(answer.statusCode, 400)
 })
+
+test('a call fails instead of hanging when its answer names no call, as that of a peer that could not read it', async () => {
+  const address = '127.78.0.6:7100'
+  const listenerWithoutId = new HttpListener({
+    address,
+    headerBytes: 16_384,
+    handle: async (_message, response) => { response.writeHead(200).end(JSON.stringify({ jsonrpc: '2.0', id: null, error: { code: -32_700, message: 'Parse error' } })) },
+    onMalformed: () => ''
+  })
+  await listenerWithoutId.open()
+  const sender = new PeerClient(new PeerSignature(KEY), () => address)
+  await assert.rejects(sender.call('host:3', PeerMethod.Probe, { number: 1 }, 500), PeerCallError)
+  await sender.close()
+  await listenerWithoutId.closeWithin(0)
+  listenerWithoutId.destroy()
+})
--- a/src/errors/errorTexts.ts
+++ b/src/errors/errorTexts.ts
@@ -3,6 +3,7 @@
   peerUnreachable: (method: string) => `the peer did not answer ${method}`,
   framingLimitExceeded: (bytes: number) => `received ${bytes} bytes without a response head, body data or an end`,
   peerRefused: (method: string, message: string) => `the peer refused ${method}: ${message}`,
+  answerNamesOtherCall: () => 'the answer does not name the call that it belongs to',
   callerNotAuthenticated: () => 'the caller did not authenticate as a host of this system',
   settingsInvalid: (faults: number) => `the settings contain ${faults} fault(s)`,
   fileUnreadable: (file: string) => `cannot read ${file}`,
--- a/src/transport/PeerClient.ts
+++ b/src/transport/PeerClient.ts
@@ -48,6 +48,8 @@
     let isAnswered = false
     const client: JSONRPCClient<void> = new JSONRPCClient(async (request) => {
       const answer = await this.#post(address, JSON.stringify(request), timeoutMilliseconds)
+      // The library drops an answer to no known call, and the call would never end.
+      if (answer.id !== request.id) throw new Error(errorTexts.answerNamesOtherCall())
       isAnswered = true
       client.receive(answer)
     })
