Keep a stop time that is shorter than the time for new connections

Found by reading: a stopping entry host waited 1.5 s before it closed its listener, also with a shorter `stop-seconds`, and so could be killed with requests in flight. Not run on the code before; the test fixes that 0.8 s are kept.

--- a/__tests__/entry/plannedStop.test.ts
+++ b/__tests__/entry/plannedStop.test.ts
@@ -175,3 +175,11 @@
   assert.deepEqual(await Promise.all(stops), [0, 0])
   assert.equal((await pending).status, 200)
 })
+
+test('a stop time that is shorter than the time for new connections is kept', async (context) => {
+  const stopMilliseconds = 800
+  const { host } = await openFixture(context, { timeoutMilliseconds: 1_400 }, { stopMilliseconds: () => stopMilliseconds })
+  const startedAt = performance.now()
+  await host.stop()
+  assert.ok(performance.now() - startedAt < stopMilliseconds, `${performance.now() - startedAt} ms`)
+})
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -131,7 +131,7 @@
     this.#stopWindow.begin(stopDeadline)
     this.#listener.beginClose()
     await this.#follower.report()
-    await sleep(CONNECTION_GRACE_MILLISECONDS)
+    await sleep(Math.min(CONNECTION_GRACE_MILLISECONDS, Math.max(0, stopDeadline - performance.now())))
     await this.#listener.closeWithin(stopDeadline - performance.now())
     const abortedRequests = this.#listener.inFlight
     this.#follower.stop()
