Sync the log again when a replica is opened

A control host that is killed between the write and the sync of an entry finds the entry in the page cache after its restart, confirms it to the leader without a sync, and loses it with the next loss of power, although a majority counted it.

Cause: ReplicaStorage.open opened the existing log file for appending and took all that it could read for durable. After a failed sync a further sync of the same file would prove nothing either.

Change: opening a joined replica writes its log anew (new file, sync, rename, sync of the folder). Truncating a torn tail is part of that, so LogFile.open and OpenFile.truncate are gone.

--- a/__tests__/agreement/storage.test.ts
+++ b/__tests__/agreement/storage.test.ts
@@ -157,6 +157,19 @@
   }), { seed: SEED, numRuns: 400 })
 })
 
+// Guards against counting entries as durable because a restarted process could read them, though they were never synced.
+test('entries that a killed process had written but not synced are durable once the next process has opened them', async () => {
+  const { storage, files } = await openJoinedStorage(() => 0)
+  files.fault = Fault.Crash
+  files.faultAtOperation = files.operationCount + 2
+  await assert.rejects(storage.append([createEntry(1, 1, 10)]), ReplicaStorageError)
+  const restarted = files.restartProcess()
+  const { stored } = await openStorage(restarted)
+  assert.equal(stored.tail.last.index, 1)
+  const afterPowerLoss = await openStorage(restarted.createSurvivor())
+  assert.equal(afterPowerLoss.stored.tail.last.index, 1)
+})
+
 test('after one failed write or sync nothing more is confirmed, even if the disk works again', async () => {
   for (let faultAt = 1; faultAt <= 16; faultAt += 1) {
     const { storage, files } = await openJoinedStorage(seededRandom(faultAt))
--- a/__tests__/agreement/support/MemoryFiles.ts
+++ b/__tests__/agreement/support/MemoryFiles.ts
@@ -58,10 +58,6 @@
         this.#countOperation(() => { inode.cached = Buffer.concat([inode.cached, data.subarray(0, Math.floor(this.#random() * data.length))]) })
         inode.cached = Buffer.concat([inode.cached, data])
       },
-      truncate: async (length) => {
-        this.#countOperation()
-        inode.cached = inode.cached.subarray(0, length)
-      },
       sync: async () => {
         this.#countOperation()
         const written = inode.cached
@@ -98,6 +94,16 @@
     this.hasCrashed = true
   }
 
+  /** @returns the files that a restarted process finds after a crash without a power loss: all that was written, durable or not */
+  restartProcess (): MemoryFiles {
+    const restarted = new MemoryFiles(this.#random)
+    restarted.syncMilliseconds = this.syncMilliseconds
+    restarted.#cachedFiles = this.#cachedFiles
+    restarted.#durableFiles = this.#durableFiles
+    restarted.#pendingChanges = this.#pendingChanges
+    return restarted
+  }
+
   /** @returns the files that a restarted process finds after a crash or a power loss */
   createSurvivor (): MemoryFiles {
     const survivor = new MemoryFiles(this.#random)
--- a/src/agreement/storage/LogFile.ts
+++ b/src/agreement/storage/LogFile.ts
@@ -35,20 +35,6 @@
     return this.#bytes
   }
 
-  /**
-   * Opens an existing file and truncates the remains of an interrupted write.
-   *
-   * @param intactBytes - length of the intact part
-   * @param tornBytes - number of bytes after it
-   */
-  async open (intactBytes: number, tornBytes: number): Promise<void> {
-    this.#file = await this.#files.open(this.#path)
-    this.#bytes = intactBytes
-    if (tornBytes === 0) return
-    await this.#file.truncate(intactBytes)
-    await this.#file.sync()
-  }
-
   /**
    * Makes entries durable. They replace all earlier entries from the first one's index on.
    *
--- a/src/agreement/storage/OpenFile.ts
+++ b/src/agreement/storage/OpenFile.ts
@@ -2,8 +2,6 @@
 export interface OpenFile {
   /** Writes data at the end of the file. */
   append (data: Buffer): Promise<void>
-  /** Truncates the file to a length in bytes. */
-  truncate (length: number): Promise<void>
   /** Waits until everything written is durable. */
   sync (): Promise<void>
   close (): Promise<void>
--- a/src/agreement/storage/ReplicaStorage.ts
+++ b/src/agreement/storage/ReplicaStorage.ts
@@ -59,10 +59,8 @@
     await this.#files.makeFolder(this.#folder)
     const stored = await readReplica(this.#files, this.#folder)
     if (stored === undefined) return this.#createIdentity(makeIdentity())
-    if (stored.identity.joined) {
-      await this.#runUnlessFailed(ReplicaFile.Log, () => this.#logFile.open(stored.intactBytes, stored.tornBytes))
-      if (stored.isLogDisconnected) await this.replaceLog(stored.tail.base, [])
-    }
+    // What was read may never have been synced, and a sync after a failed one proves nothing, so the log is written anew.
+    if (stored.identity.joined) await this.replaceLog(stored.tail.base, stored.tail.entries)
     return stored
   }
 
--- a/src/agreement/storage/StoredReplica.ts
+++ b/src/agreement/storage/StoredReplica.ts
@@ -10,6 +10,6 @@
   /** Undefined while the replica has not joined a group. */
   snapshot?: Snapshot
   tail: LogTail
-  /** Number of bytes of an interrupted write that are truncated from the log file. */
+  /** Number of bytes of an interrupted write that are cut off from the log. */
   tornBytes: number
 }
--- a/src/agreement/storage/diskFiles.ts
+++ b/src/agreement/storage/diskFiles.ts
@@ -13,10 +13,6 @@
     await this.#handle.appendFile(data)
   }
 
-  async truncate (length: number): Promise<void> {
-    await this.#handle.truncate(length)
-  }
-
   async sync (): Promise<void> {
     await this.#handle.sync()
   }
--- a/src/agreement/storage/readLogFile.ts
+++ b/src/agreement/storage/readLogFile.ts
@@ -7,20 +7,18 @@
 /** Content of a log file. */
 export interface LogFileContent {
   tail: LogTail
-  /** Length of the intact part in bytes. */
-  intactBytes: number
-  /** Number of bytes after it, from an interrupted write. */
+  /** Number of bytes of an interrupted write at its end. */
   tornBytes: number
 }
 
 /**
  * @param content - bytes of the log file
  * @param path - path of the file, named in errors
- * @returns its entries and the lengths of its intact and torn parts
+ * @returns its entries and the length of its torn part
  * @throws {@link ReplicaStorageError} when the file is damaged other than by an interrupted last write
  */
 export function readLogFile (content: Buffer, path: string): LogFileContent {
-  const { payloads, intactBytes, tornBytes, isCorrupt } = readFrames(content)
+  const { payloads, tornBytes, isCorrupt } = readFrames(content)
   const frames = payloads.map((payload) => JSON.parse(payload.toString()) as LogFrame)
   const base = frames[0]?.base
   if (isCorrupt || base === undefined) throw new ReplicaStorageError(errorTexts.replicaFileCorrupt(path), path)
@@ -31,5 +29,5 @@
     if (first.index > tail.last.index + 1) throw new ReplicaStorageError(errorTexts.replicaFileCorrupt(path), path)
     tail.append(entries)
   }
-  return { tail, intactBytes, tornBytes }
+  return { tail, tornBytes }
 }
--- a/src/agreement/storage/readReplica.ts
+++ b/src/agreement/storage/readReplica.ts
@@ -11,13 +11,6 @@
 import type { StoredReplica } from './StoredReplica.js'
 import type { VoteRecord } from './VoteRecord.js'
 
-/** Content of a data folder, and the state of its log file. */
-export interface LoadedReplica extends StoredReplica {
-  intactBytes: number
-  /** Whether the log file does not continue the snapshot, so that the file must be replaced. */
-  isLogDisconnected: boolean
-}
-
 /**
  * Reads a data folder without changing it.
  *
@@ -26,18 +19,18 @@
  * @returns its content, undefined when the folder holds no files of a replica
  * @throws {@link ReplicaStorageError} when a file is missing or corrupt
  */
-export async function readReplica (files: FileOperations, folder: string): Promise<LoadedReplica | undefined> {
+export async function readReplica (files: FileOperations, folder: string): Promise<StoredReplica | undefined> {
   const identity = await readRecord<IdentityRecord>(files, join(folder, ReplicaFile.Identity))
   if (identity === undefined) {
     await requireEmptyFolder(files, folder)
     return undefined
   }
-  if (!identity.joined) return { identity, vote: { term: 0 }, tail: new LogTail(), intactBytes: 0, tornBytes: 0, isLogDisconnected: false }
+  if (!identity.joined) return { identity, vote: { term: 0 }, tail: new LogTail(), tornBytes: 0 }
   const snapshot = await requireRecord<Snapshot>(files, join(folder, ReplicaFile.Snapshot))
   const vote = await requireRecord<VoteRecord>(files, join(folder, ReplicaFile.Vote))
   const log = await requireLog(files, join(folder, ReplicaFile.Log))
-  const isLogDisconnected = rebaseIfDisconnected(log.tail, snapshot, join(folder, ReplicaFile.Log))
-  return { identity, vote, snapshot, isLogDisconnected, ...log }
+  rebaseIfDisconnected(log.tail, snapshot, join(folder, ReplicaFile.Log))
+  return { identity, vote, snapshot, ...log }
 }
 
 async function requireEmptyFolder (files: FileOperations, folder: string): Promise<void> {
@@ -58,9 +51,8 @@
   return readLogFile(content, path)
 }
 
-function rebaseIfDisconnected (tail: LogTail, snapshot: Snapshot, path: string): boolean {
+/** Discards entries that do not continue the snapshot. */
+function rebaseIfDisconnected (tail: LogTail, snapshot: Snapshot, path: string): void {
   if (tail.base.index > snapshot.position.index) throw new ReplicaStorageError(errorTexts.replicaFileCorrupt(path), path)
-  const isDisconnected = tail.termAt(snapshot.position.index) !== snapshot.position.term
-  if (isDisconnected) tail.rebase(snapshot.position)
-  return isDisconnected
+  if (tail.termAt(snapshot.position.index) !== snapshot.position.term) tail.rebase(snapshot.position)
 }
