Open a replica again after its disk failed

Cause: a replica stops at its first failed write, and only a restart of its process opened it again. Six voters need four, so the third full disk ended the group. A disk that was full at the start of a process had the same effect: the daemon form went on without a replica for good, the platform form ended the process.

Change: ReplicatedLog holds the parts of one opening in a ReplicaSession, and opens a new one once a second until the disk works. Control hosts keep the newest known plan in force at entry hosts meanwhile (the test goes back from version 1 to 0 without that).

"a full disk stops a replica permanently" asserted the fault itself. It asserts now that the replica stays stopped as long as the disk is full, with the same checks, and beyond them that it takes part again afterwards.

--- a/__tests__/agreement/support/SheetCluster.ts
+++ b/__tests__/agreement/support/SheetCluster.ts
@@ -154,8 +154,8 @@
   }
 
   /** Adds a replica that answers calls before it has read its data folder. */
-  addUnopened (): ClusterHost {
-    return this.#createHost(this.hosts.length, new MemoryFiles(this.random))
+  addUnopened (index = this.hosts.length, files = new MemoryFiles(this.random)): ClusterHost {
+    return this.#createHost(index, files)
   }
 
   /** Opens a replica's data folder and starts the replica. */
--- a/src/agreement/ReplicaCore.ts
+++ b/src/agreement/ReplicaCore.ts
@@ -56,9 +56,15 @@
   #votedFor: string | undefined
   #voteWrite: Promise<void> = Promise.resolve()
 
-  /** @param options - folder, transport, state machine, limits and timings of the replica */
-  constructor (options: ReplicaOptions<unknown, unknown>) {
+  readonly #onFailure: () => void
+
+  /**
+   * @param options - folder, transport, state machine, limits and timings of the replica
+   * @param onFailure - called once, when the files cannot be read or written
+   */
+  constructor (options: ReplicaOptions<unknown, unknown>, onFailure: () => void) {
     this.options = options
+    this.#onFailure = onFailure
     this.timings = { ...defaultReplicaTimings, ...options.timings }
     this.limits = { ...defaultReplicaLimits, ...options.limits }
     this.storage = new ReplicaStorage(options.files, options.folder, (error) => this.stopOnFailure(error))
@@ -121,11 +127,18 @@
     await this.storage.replaceLog(this.tail.base, this.tail.entries, snapshotWrite)
   }
 
-  /** Stops the replica permanently after a failed read or write of its files. */
+  /** Stops the replica after a failed read or write of its files, until its folder is opened again. */
   stopOnFailure (error: ReplicaStorageError): void {
+    const isFirstFailure = this.failure === undefined
     this.failure ??= error
     this.options.counters.increment(ReplicaCounter.StorageFailed)
     this.options.log.error('replica-stopped', { step: error.step, peer: error.peer, reason: error.message, cause: String(error.cause ?? '') })
+    this.stop()
+    if (isFirstFailure) this.#onFailure()
+  }
+
+  /** Ends the leadership, if any, and takes no further part. */
+  stop (): void {
     this.stepDownTo(ReplicaRole.Stopped)
   }
 
--- a/src/agreement/ReplicaTimings.ts
+++ b/src/agreement/ReplicaTimings.ts
@@ -18,6 +18,8 @@
   commitMilliseconds: number
   /** Maximum time of a leadership transfer at a planned stop. */
   handoverMilliseconds: number
+  /** Interval at which a replica whose disk failed opens its folder again. */
+  reopenMilliseconds: number
 }
 
 /** Default timings, for regions with a one-way delay of up to 55 ms. */
@@ -30,5 +32,6 @@
   transferMilliseconds: 10_000,
   statusMilliseconds: 2_000,
   commitMilliseconds: 5_000,
-  handoverMilliseconds: 1_000
+  handoverMilliseconds: 1_000,
+  reopenMilliseconds: 1_000
 }
--- a/src/agreement/ReplicatedLog.ts
+++ b/src/agreement/ReplicatedLog.ts
@@ -1,15 +1,7 @@
-import type { ReplicaStorageError } from '../errors/ReplicaStorageError.js'
 import { PeerMethod } from '../types/PeerMethod.js'
 import { Step } from '../types/Step.js'
-import { Bootstrap } from './Bootstrap.js'
-import { Compaction } from './Compaction.js'
-import { Elections } from './Elections.js'
-import { AppendHandler } from './AppendHandler.js'
 import { forceMembership } from './forceMembership.js'
-import { Forwarding } from './Forwarding.js'
 import { LeadershipTransfer } from './LeadershipTransfer.js'
-import { Leadership } from './Leadership.js'
-import { MembershipChanges } from './MembershipChanges.js'
 import type { LeadershipTransferRequest } from './messages/LeadershipTransferRequest.js'
 import type { AppendRequest } from './messages/AppendRequest.js'
 import type { ProposeRequest } from './messages/ProposeRequest.js'
@@ -22,12 +14,13 @@
 import { ReconfigureAction } from './ReconfigureAction.js'
 import { ReplicaRefusalReason } from './ReplicaRefusalReason.js'
 import type { ReplicaConfiguration } from './ReplicaConfiguration.js'
-import { ReplicaCore } from './ReplicaCore.js'
+import type { ReplicaCore } from './ReplicaCore.js'
 import { ReplicaCounter } from './ReplicaCounter.js'
 import type { ReplicaOptions } from './ReplicaOptions.js'
 import { ReplicaRole } from './ReplicaRole.js'
+import { ReplicaSession } from './ReplicaSession.js'
 import type { ReplicaStatus } from './ReplicaStatus.js'
-import { SnapshotReceiver } from './SnapshotReceiver.js'
+import { Signal } from './tasks/Signal.js'
 
 const countersByOutcome: Record<ProposalOutcome, ReplicaCounter> = {
   [ProposalOutcome.Committed]: ReplicaCounter.ProposalCommitted,
@@ -43,50 +36,42 @@
  * @typeParam Result - type of the results of applying a value, JSON
  */
 export class ReplicatedLog<Value, Result> {
-  readonly #core: ReplicaCore
-  readonly #elections: Elections
-  readonly #forwarding: Forwarding
-  readonly #bootstrap: Bootstrap
-  #leadership: Leadership | undefined
-  #membershipChanges: MembershipChanges | undefined
-  #electionTask: Promise<void> = Promise.resolve()
+  readonly #options: ReplicaOptions<unknown, unknown>
+  readonly #stopSignal = new Signal()
+  #session: ReplicaSession
+  #isRunning = false
+  #isReopening = false
+  #reopenTask: Promise<void> = Promise.resolve()
   #leadershipTransfer: Promise<boolean> | undefined
 
   /** @param options - folder, transport, state machine, limits and timings of the replica */
   constructor (options: ReplicaOptions<Value, Result>) {
-    this.#core = new ReplicaCore(options as ReplicaOptions<unknown, unknown>)
-    this.#elections = new Elections(this.#core, (grantedBy, requestedAt) => this.#becomeLeader(grantedBy, requestedAt))
-    this.#forwarding = new Forwarding(this.#core)
-    this.#bootstrap = new Bootstrap(this.#core)
-    const compaction = new Compaction(this.#core)
-    this.#core.onApplied = () => { compaction.runIfDue() }
+    this.#options = options as ReplicaOptions<unknown, unknown>
+    this.#session = this.#createSession()
     this.#registerHandlers()
   }
 
+  get #core (): ReplicaCore {
+    return this.#session.core
+  }
+
   /**
    * Reads the data folder; an empty folder gets a new replica identity.
    *
-   * @throws {@link ReplicaStorageError} when a file is missing, corrupt or not writable; the replica then stays stopped
+   * @throws ReplicaStorageError when a file is missing, corrupt, not readable or not writable; the replica is stopped then
    */
   async open (): Promise<void> {
-    const { storage, options } = this.#core
-    try {
-      const stored = await storage.open(options.makeIdentity)
-      this.#core.load(stored)
-      if (stored.tornBytes === 0) return
-      options.counters.increment(ReplicaCounter.TornBytesTruncated, stored.tornBytes)
-      options.log.warn('torn-write-cut', { step: Step.Storage, peer: options.folder, bytes: stored.tornBytes })
-    } catch (error) {
-      this.#core.stopOnFailure(error as ReplicaStorageError)
-      throw error
-    }
+    await this.#session.open()
   }
 
-  /** Starts to take part in elections; calls are answered as soon as {@link open} has finished. */
+  /**
+   * Starts to take part in elections; calls are answered as soon as {@link open} has finished. From then on a replica that
+   * stopped because its disk failed, in {@link open} or later, opens its folder again until the disk works.
+   */
   start (): void {
-    this.#core.lastLeaderContactAt = performance.now()
-    this.#core.electionTimerStartedAt = this.#core.lastLeaderContactAt
-    this.#electionTask = this.#elections.run()
+    this.#isRunning = true
+    if (this.#core.failure === undefined) this.#session.start()
+    else this.#beginReopening()
   }
 
   /**
@@ -96,8 +81,9 @@
    * @returns whether another leader took over; resolves within the timing `handoverMilliseconds`
    */
   async handOver (): Promise<boolean> {
-    if (this.#core.role !== ReplicaRole.Leader || this.#leadership === undefined) return false
-    this.#leadershipTransfer ??= new LeadershipTransfer(this.#core, this.#leadership).run()
+    const { core, leadership } = this.#session
+    if (core.role !== ReplicaRole.Leader || leadership === undefined) return false
+    this.#leadershipTransfer ??= new LeadershipTransfer(core, leadership).run()
     const isTransferred = await this.#leadershipTransfer
     this.#leadershipTransfer = undefined
     return isTransferred
@@ -105,16 +91,16 @@
 
   /** Stops the replica, waits for its writes and closes its files. */
   async stop (): Promise<void> {
-    this.#elections.stop()
-    this.#core.stepDownTo(ReplicaRole.Stopped)
-    await this.#electionTask
-    await this.#core.storage.close()
+    this.#isRunning = false
+    this.#stopSignal.notify()
+    await this.#reopenTask
+    await this.#session.close()
   }
 
   /** @returns role, term, positions and membership as this replica knows them */
   status (): ReplicaStatus {
     const { identity, group, role, term, leader, commitIndex, appliedIndex, configuration, failure, tail, options } = this.#core
-    const hasQuorum = this.#leadership?.acceptsProposals ?? false
+    const hasQuorum = this.#session.leadership?.acceptsProposals ?? false
     const hearsLeader = hasQuorum || (role === ReplicaRole.Follower && leader !== undefined && this.#core.hasRecentLeaderContact())
     const isCurrent = hearsLeader && this.#core.hasAppliedLeaderCommit()
     return { identity, address: options.address, group, role, term, leader, hasQuorum, hearsLeader, isCurrent, last: tail.last, commitIndex, appliedIndex, configuration, failure: failure?.message }
@@ -125,7 +111,8 @@
    * @returns identities of voters that have not answered this leader for that time, the longest silent first; empty at a follower
    */
   listSilent (silenceMilliseconds: number): string[] {
-    return this.#leadership?.isActive === true ? this.#leadership.listSilentVoters(silenceMilliseconds) : []
+    const { leadership } = this.#session
+    return leadership?.isActive === true ? leadership.listSilentVoters(silenceMilliseconds) : []
   }
 
   /**
@@ -145,7 +132,7 @@
    * @returns the first membership
    */
   async bootstrap (addresses: string[]): Promise<ReplicaConfiguration> {
-    const { configuration } = await this.#bootstrap.run(addresses)
+    const { configuration } = await this.#session.bootstrap.run(addresses)
     return configuration
   }
 
@@ -184,12 +171,6 @@
     this.#core.options.log.warn('membership-forced', { step: Step.Reconfigure, identity, index: this.#core.commitIndex })
   }
 
-  #becomeLeader (grantedBy: string[], requestedAt: number): void {
-    this.#leadership = new Leadership(this.#core)
-    this.#membershipChanges = new MembershipChanges(this.#core, this.#leadership)
-    this.#leadership.start(grantedBy, requestedAt)
-  }
-
   async #propose (request: ProposeRequest): Promise<ProposalAnswer<unknown>> {
     const answer = await this.#proposeOrForward(request)
     this.#core.options.counters.increment(countersByOutcome[answer.outcome])
@@ -198,28 +179,60 @@
 
   async #proposeOrForward ({ value, forwarded, receiver }: ProposeRequest): Promise<ProposalAnswer<unknown>> {
     if (receiver !== undefined && receiver !== this.#core.identity) return { outcome: ProposalOutcome.NotAccepted, reason: ReplicaRefusalReason.NotLeader }
-    if (this.#core.role === ReplicaRole.Leader && this.#leadership !== undefined) return this.#leadership.propose(value)
-    const reason = this.#forwarding.findRefusalReason(forwarded)
+    const { core, leadership, forwarding } = this.#session
+    if (core.role === ReplicaRole.Leader && leadership !== undefined) return leadership.propose(value)
+    const reason = forwarding.findRefusalReason(forwarded)
     if (reason !== undefined) return { outcome: ProposalOutcome.NotAccepted, reason }
-    return this.#forwarding.propose(value)
+    return forwarding.propose(value)
   }
 
   async #reconfigure (request: ReconfigureRequest): Promise<ReconfigureAnswer> {
-    if (request.action === ReconfigureAction.AdoptGroup) return this.#bootstrap.adoptGroup(request)
-    if (this.#core.role === ReplicaRole.Leader && this.#membershipChanges !== undefined) return this.#membershipChanges.run(request)
-    const reason = this.#forwarding.findRefusalReason(request.forwarded)
+    const { core, bootstrap, membershipChanges, forwarding } = this.#session
+    if (request.action === ReconfigureAction.AdoptGroup) return bootstrap.adoptGroup(request)
+    if (core.role === ReplicaRole.Leader && membershipChanges !== undefined) return membershipChanges.run(request)
+    const reason = forwarding.findRefusalReason(request.forwarded)
     if (reason !== undefined) return { done: false, reason }
-    return this.#forwarding.reconfigure(request)
+    return forwarding.reconfigure(request)
+  }
+
+  #createSession (): ReplicaSession {
+    return new ReplicaSession(this.#options, () => { if (this.#isRunning) this.#beginReopening() })
+  }
+
+  #beginReopening (): void {
+    if (this.#isReopening) return
+    this.#isReopening = true
+    this.#reopenTask = this.#reopenUntilWorking()
+  }
+
+  /** Opens the folder again until that succeeds, because a disk that is full or refuses writes may take them again. */
+  async #reopenUntilWorking (): Promise<void> {
+    while (this.#isRunning && this.#core.failure?.isTransient === true) {
+      await this.#stopSignal.wait(this.#core.timings.reopenMilliseconds)
+      if (this.#isRunning) await this.#reopen()
+    }
+    this.#isReopening = false
+  }
+
+  async #reopen (): Promise<void> {
+    await this.#session.close()
+    this.#session = this.#createSession()
+    try {
+      await this.#session.open()
+    } catch {
+      // The session has logged and counted the failure; the next attempt follows.
+      return
+    }
+    this.#session.start()
+    this.#options.log.info('replica-reopened', { step: Step.Storage, peer: this.#options.folder, index: this.#core.tail.last.index })
   }
 
   #registerHandlers (): void {
-    const { registerHandler } = this.#core.options
-    const appendHandler = new AppendHandler(this.#core)
-    const snapshotReceiver = new SnapshotReceiver(this.#core)
-    registerHandler(PeerMethod.RequestVote, (request: VoteRequest) => this.#elections.handleVoteRequest(request))
-    registerHandler(PeerMethod.HandOver, (request: LeadershipTransferRequest) => this.#elections.handleLeadershipTransfer(request))
-    registerHandler(PeerMethod.AppendEntries, (request: AppendRequest) => appendHandler.handleAppend(request))
-    registerHandler(PeerMethod.InstallSnapshot, (request: SnapshotChunkRequest) => snapshotReceiver.handleChunk(request))
+    const { registerHandler } = this.#options
+    registerHandler(PeerMethod.RequestVote, (request: VoteRequest) => this.#session.elections.handleVoteRequest(request))
+    registerHandler(PeerMethod.HandOver, (request: LeadershipTransferRequest) => this.#session.elections.handleLeadershipTransfer(request))
+    registerHandler(PeerMethod.AppendEntries, (request: AppendRequest) => this.#session.appendHandler.handleAppend(request))
+    registerHandler(PeerMethod.InstallSnapshot, (request: SnapshotChunkRequest) => this.#session.snapshotReceiver.handleChunk(request))
     registerHandler(PeerMethod.Propose, (request: ProposeRequest) => this.#propose(request))
     registerHandler(PeerMethod.Reconfigure, (request: ReconfigureRequest) => this.#reconfigure(request))
     registerHandler(PeerMethod.ReplicaStatus, () => this.status())
--- a/src/control/ControlHostOptions.ts
+++ b/src/control/ControlHostOptions.ts
@@ -1,3 +1,4 @@
+import type { FileOperations } from '../agreement/storage/FileOperations.js'
 import type { Counters } from '../observe/Counters.js'
 import type { Log } from '../observe/Log.js'
 import type { CallPeer } from '../transport/CallPeer.js'
@@ -26,6 +27,8 @@
   /** Ends the process, which is then started again; called when a replica that was removed cannot begin anew in place. */
   restart: () => void
   random: () => number
+  /** File operations; by default those on the disk of this host. */
+  files?: FileOperations
   counters: Counters
   log: Log
 }
--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto'
+import { listVoters } from '../agreement/ReplicaConfiguration.js'
 import { diskFiles } from '../agreement/storage/diskFiles.js'
 import { CrashExchange } from '../crashes/CrashExchange.js'
 import { StateFeed } from '../follow/StateFeed.js'
@@ -71,6 +72,11 @@
     return performance.now() - this.#startedAt >= DIRECTORY_WARM_UP_MILLISECONDS && this.entryHosts.count > 0
   }
 
+  /** Number of voting members of the replica group, as far as this host knows. */
+  get voterCount (): number {
+    return listVoters(this.#replica.status.configuration).length
+  }
+
   /** Restores the state from disk and starts the replica. Must be finished before calls of peers are answered. */
   async open (): Promise<void> {
     await this.#restoreState()
@@ -105,12 +111,12 @@
   }
 
   #createReplica (): PlanReplica {
-    const { settings, callPeer, registerHandler, random, restart, log, counters } = this.#options
+    const { settings, files = diskFiles, callPeer, registerHandler, random, restart, log, counters } = this.#options
     const { dataFolder, peerAddress, isFirstStart } = settings()
     return new PlanReplica({
       replica: {
         folder: dataFolder,
-        files: diskFiles,
+        files,
         address: peerAddress,
         callPeer,
         registerHandler,
@@ -122,21 +128,17 @@
         counters
       },
       group: { seeds: () => settings().seeds, isFirstStart, listPeers: () => this.#controlHosts.listPeers(), desiredVoters: () => settings().wantedVoters },
-      onReset: () => { this.#resetPlans() },
+      onReset: () => { this.#restorePlans(undefined) },
       onFailure: restart
     })
   }
 
+  /** Replaces the applied state. The newest known plan stays in force at entry hosts until the log has brought it again. */
   #restorePlans (stored: StoredPlanState | undefined): void {
-    this.#planState.restore(stored)
-    this.#publishChange()
-  }
-
-  /** Keeps the plan known to entry hosts until the log brings it again. */
-  #resetPlans (): void {
     const { plan, evacuated, evacuationRevision } = this.#planSource
     this.#planSource.restore({ plan, evacuated, evacuationRevision })
-    this.#planState.restore(undefined)
+    this.#planState.restore(stored)
+    this.#publishChange()
   }
 
   #apply (entry: PlanEntry, index: number): PlanResult {
@@ -194,9 +196,9 @@
   }
 
   #createRecoveryFile (): RecoveryFile {
-    const { settings, log } = this.#options
+    const { settings, files = diskFiles, log } = this.#options
     return new RecoveryFile({
-      files: diskFiles,
+      files,
       folder: settings().dataFolder,
       describe: () => {
         const { plan, evacuated, evacuationRevision } = this.#planSource
--- a/src/control/PlanReplica.ts
+++ b/src/control/PlanReplica.ts
@@ -58,9 +58,13 @@
     return this.#listVoterAddresses().filter((address) => address !== this.#options.replica.address)
   }
 
-  /** Restores the state from disk, and takes part in elections. */
+  /** Restores the state from disk, and takes part in elections. If the disk fails, the host goes on without a replica until it works. */
   async open (): Promise<void> {
-    await this.#replica.open()
+    try {
+      await this.#replica.open()
+    } catch (error) {
+      this.#options.replica.log.error('replica-not-started', { step: Step.Storage, cause: String(error) })
+    }
     this.#replica.start()
   }
 
--- a/src/daemon/HostSheets.ts
+++ b/src/daemon/HostSheets.ts
@@ -51,15 +51,15 @@
     this.#listeners.add(listener)
   }
 
-  /** Opens and starts the replica; if that fails, the failure is logged and the host continues without a replica. */
+  /** Opens and starts the replica; if that fails, the failure is logged and the host continues without a replica until its disk works. */
   async open (): Promise<void> {
     if (this.replica === undefined) return
     try {
       await this.replica.replicatedLog.open()
-      this.replica.replicatedLog.start()
     } catch (cause) {
       this.#logFailure('replica-not-started', cause)
     }
+    this.replica.replicatedLog.start()
   }
 
   /** Fetches the newest accepted sheet and follows later ones. */
--- a/src/errors/ReplicaStorageError.ts
+++ b/src/errors/ReplicaStorageError.ts
@@ -1,7 +1,7 @@
 import { Step } from '../types/Step.js'
 import { HibiscusrelayError } from './HibiscusrelayError.js'
 
-/** A file of a replica is missing, corrupt or cannot be written; the replica must no longer take part in its group. */
+/** A file of a replica is missing, corrupt, or cannot be read or written; the replica must not take part in its group until it has been opened again. */
 export class ReplicaStorageError extends HibiscusrelayError {
   /**
    * @param message - error message, from {@link errorTexts}
@@ -11,4 +11,9 @@
   constructor (message: string, file: string, cause?: unknown) {
     super(message, { step: Step.Storage, peer: file, cause })
   }
+
+  /** Whether an operation failed, which may succeed later, rather than the content of the file being unusable. */
+  get isTransient (): boolean {
+    return this.cause !== undefined
+  }
 }
--- a/src/errors/errorTexts.ts
+++ b/src/errors/errorTexts.ts
@@ -11,7 +11,8 @@
 
   // Replicated log
   replicaStopped: (reason: string) => `the replica stopped: ${reason}`,
-  replicaWriteFailed: (file: string) => `cannot write or sync ${file}; the replica stays stopped until its disk is repaired and it is restarted`,
+  replicaWriteFailed: (file: string) => `cannot write or sync ${file}; the replica is stopped until its disk takes writes again`,
+  replicaReadFailed: (folder: string) => `cannot read ${folder}; the replica is stopped until its disk can be read again`,
   replicaFileCorrupt: (file: string) => `${file} is corrupt; empty the data folder and replace this replica by a new one`,
   replicaFileMissing: (file: string) => `${file} is missing although this replica has joined a group; empty the data folder and replace this replica by a new one`,
   replicaIdentityMissing: () => 'the data folder contains files but no replica identity; empty it and replace this replica by a new one',
