Pass over learners that are gone when the group is repaired

Cause: the second loss leaves a learner in the group whose identity is gone. Nothing removed learners, and the leader always repaired the first one: it tried for ever to replace the voter at that address by itself (address-in-use), and no host that lost its disk afterwards voted again.

Evidence: the leader's log of the case holds group-repaired done=false reason=address-in-use with the identity of the second disk. ReplicaGroupManager.test.ts on the code before: "no leader" after the third later loss; an empty replica whose identity was removed never begins anew.

Change: learners that are silent are passed over; those whose address a later member has, or that are silent for 10 s, are removed; one whose repair failed goes last. A replica whose identity was removed before it joined begins anew.

--- a/__tests__/control/ReplicaGroupManager.test.ts
+++ b/__tests__/control/ReplicaGroupManager.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test, type TestContext } from 'node:test'
 import { listVoters } from '../../src/agreement/ReplicaConfiguration.js'
+import { ReplicaRole } from '../../src/agreement/ReplicaRole.js'
 import { ReplicaGroupManager } from '../../src/control/ReplicaGroupManager.js'
 import { SheetCluster, type ClusterHost } from '../agreement/support/SheetCluster.js'
 
@@ -147,3 +148,52 @@
   await cluster.advanceUntil(() => managed.listVoters().length === HOST_COUNT && !managed.listVoters().includes(identity), 'the wiped host has joined in time', MAXIMUM_JOIN_MILLISECONDS)
   managed.stop()
 })
+
+// Guards against a group that is never repaired again because one machine lost its disk twice in short order.
+test('a host that loses its disk again while the group takes it in does not end the repair of later losses', async (context) => {
+  const managed = new ManagedCluster(context)
+  await managed.start()
+  const { cluster } = managed
+  const loseDisk = async (host: ClusterHost): Promise<ClusterHost> => {
+    managed.kill(host)
+    const restarted = await cluster.restartWithEmptyDisk(host)
+    managed.startManager(restarted, false)
+    return restarted
+  }
+  const [first, ...others] = cluster.listFollowers() as [ClusterHost, ...ClusterHost[]]
+  const firstAgain = await loseDisk(first)
+  const { identity } = firstAgain.replicatedLog.status()
+  const listMembers = (): string[] => cluster.listLeaders()[0]?.replicatedLog.status().configuration.members.map((member) => member.identity) ?? []
+  await cluster.advanceUntil(() => listMembers().includes(identity), 'the host joins')
+  await loseDisk(firstAgain)
+  await cluster.advance(2 * MINIMUM_CATCH_UP_MILLISECONDS)
+  for (const host of others.slice(0, 3)) {
+    await loseDisk(host)
+    await cluster.advance(2 * MINIMUM_CATCH_UP_MILLISECONDS)
+  }
+  const leader = await cluster.waitForLeader()
+  assert.equal((await cluster.waitFor(cluster.submit(leader, 1))).result, 'accepted')
+  assert.equal(managed.listVoters().length, HOST_COUNT)
+  managed.stop()
+})
+
+// Guards against a replica that asks for ever to join under an identity that was removed before it had joined.
+test('an empty replica whose identity was removed begins anew', async (context) => {
+  const managed = new ManagedCluster(context)
+  await managed.start()
+  const { cluster } = managed
+  const added = await cluster.addHost()
+  const { identity } = added.replicatedLog.status()
+  const leader = cluster.listLeaders()[0]!
+  const adding = leader.replicatedLog.addLearner(added.address)
+  await cluster.advanceUntil(() => leader.replicatedLog.status().configuration.members.some((member) => member.identity === identity), 'the learner is added')
+  // It ends before the first snapshot reaches it.
+  cluster.kill(added)
+  await cluster.waitFor(adding)
+  await cluster.waitFor(leader.replicatedLog.remove(identity))
+  const emptyAgain = await cluster.open(cluster.addUnopened(cluster.hosts.indexOf(added), added.files.restartProcess()))
+  assert.deepEqual([emptyAgain.replicatedLog.status().identity, emptyAgain.replicatedLog.status().role], [identity, ReplicaRole.Empty])
+  managed.startManager(emptyAgain, false)
+  await cluster.advanceUntil(() => managed.retired.includes(added.address), 'the replica begins anew')
+  managed.stop()
+})
--- a/src/agreement/Leadership.ts
+++ b/src/agreement/Leadership.ts
@@ -22,7 +22,6 @@
   readonly #progressByIdentity = new Map<string, PeerProgress>()
   readonly #openProposals = new Map<number, SettleProposal>()
   readonly #endSignal = new Signal()
-  readonly #startedAt = performance.now()
   #durableIndex = 0
   #isActive = true
   #acceptsProposals = true
@@ -87,15 +86,13 @@
       .sort((left, right) => getLastContact(right) - getLastContact(left))
   }
 
-  /** @returns identities of voters that have not answered for that time, the longest silent first; empty until the leadership has lasted that long */
-  listSilentVoters (silenceMilliseconds: number): string[] {
-    const silentSince = performance.now() - silenceMilliseconds
-    if (this.#startedAt > silentSince) return []
-    return listVoters(this.#core.configuration)
-      .map((member) => ({ identity: member.identity, contact: this.#getLastContact(member) }))
-      .filter(({ contact }) => contact < silentSince)
-      .sort((left, right) => left.contact - right.contact)
-      .map(({ identity }) => identity)
+  /** @returns identities of members that have not answered for that time, the longest silent first */
+  listSilentMembers (silenceMilliseconds: number): string[] {
+    const silentUntil = performance.now() - silenceMilliseconds
+    return [...this.#progressByIdentity.values()]
+      .filter(({ silentSince }) => silentSince < silentUntil)
+      .sort((left, right) => left.acknowledgedAt - right.acknowledgedAt)
+      .map(({ member }) => member.identity)
   }
 
   /** @returns whether an entry of this term is committed */
--- a/src/agreement/MembershipChanges.ts
+++ b/src/agreement/MembershipChanges.ts
@@ -97,16 +97,23 @@
 
   async #waitUntilCaughtUp (identity: string): Promise<boolean> {
     if (identity === this.#core.identity) return true
-    return this.#waitUntil(() => {
+    const isCaughtUp = (): boolean => {
       const progress = this.#leadership.findProgress(identity)
       return progress !== undefined && progress.matchIndex >= this.#core.commitIndex && this.#hasRecentContact(progress.acknowledgedAt)
-    })
+    }
+    // Other changes of the group wait behind this one, so a member that is down is not waited for.
+    return this.#waitUntil(isCaughtUp, () => this.#isSilent(identity))
+  }
+
+  #isSilent (identity: string): boolean {
+    const progress = this.#leadership.findProgress(identity)
+    return progress !== undefined && performance.now() - progress.silentSince > this.#core.timings.statusMilliseconds
   }
 
-  /** @returns whether the condition became true within the commit timeout, during this leadership */
-  async #waitUntil (condition: () => boolean): Promise<boolean> {
+  /** @returns whether the condition became true within the commit timeout, during this leadership, before waiting became pointless */
+  async #waitUntil (condition: () => boolean, isPointless: () => boolean = () => false): Promise<boolean> {
     const deadline = performance.now() + this.#core.timings.commitMilliseconds
-    while (this.#leadership.isActive && performance.now() < deadline) {
+    while (this.#leadership.isActive && performance.now() < deadline && !isPointless()) {
       if (condition()) return true
       await pause(POLL_MILLISECONDS)
     }
--- a/src/agreement/PeerProgress.ts
+++ b/src/agreement/PeerProgress.ts
@@ -14,6 +14,8 @@
   matchIndex = 0
   /** Monotonic time at which the latest answered call was sent, in milliseconds. */
   acknowledgedAt = Number.NEGATIVE_INFINITY
+  /** Monotonic time since which the leader has been in contact with the member or tried to be, in milliseconds. */
+  readonly startedAt = performance.now()
   isActive = true
   /** Number of calls with entries or snapshot chunks that failed in a row while heartbeats were answered. */
   consecutiveSlowCalls = 0
@@ -31,6 +33,11 @@
     this.nextIndex = nextIndex
   }
 
+  /** Monotonic time since which the member has been silent, in milliseconds. */
+  get silentSince (): number {
+    return Math.max(this.startedAt, this.acknowledgedAt)
+  }
+
   /** Records that a call sent at that monotonic time was answered. */
   recordAcknowledgement (sentAt: number): void {
     this.acknowledgedAt = Math.max(this.acknowledgedAt, sentAt)
--- a/src/agreement/ReplicatedLog.ts
+++ b/src/agreement/ReplicatedLog.ts
@@ -108,11 +108,11 @@
 
   /**
    * @param silenceMilliseconds - minimum time without an answer
-   * @returns identities of voters that have not answered this leader for that time, the longest silent first; empty at a follower
+   * @returns identities of members that have not answered this leader for that time, the longest silent first; empty at a follower
    */
   listSilent (silenceMilliseconds: number): string[] {
     const { leadership } = this.#session
-    return leadership?.isActive === true ? leadership.listSilentVoters(silenceMilliseconds) : []
+    return leadership?.isActive === true ? leadership.listSilentMembers(silenceMilliseconds) : []
   }
 
   /**
--- a/src/control/ReplicaGroupManager.ts
+++ b/src/control/ReplicaGroupManager.ts
@@ -2,6 +2,7 @@
 import type { ReconfigureAnswer } from '../agreement/messages/ReconfigureAnswer.js'
 import { ReconfigureAction } from '../agreement/ReconfigureAction.js'
 import type { ReplicatedLog } from '../agreement/ReplicatedLog.js'
+import { ReplicaRefusalReason } from '../agreement/ReplicaRefusalReason.js'
 import { ReplicaRole } from '../agreement/ReplicaRole.js'
 import type { Log } from '../observe/Log.js'
 import type { CallPeer } from '../transport/CallPeer.js'
@@ -9,7 +10,7 @@
 import { Step } from '../types/Step.js'
 import { askWithHedging } from '../utils/askWithHedging.js'
 import { pause } from '../utils/pause.js'
-import { chooseRepair, RepairKind, type Repair } from './chooseRepair.js'
+import { chooseRepair, RepairKind, type GroupHealth, type Repair } from './chooseRepair.js'
 
 const CHECK_INTERVAL_MILLISECONDS = 200
 /** Timeout for one member to add this replica; the leader asks this replica for its status meanwhile. */
@@ -18,6 +19,8 @@
 const JOIN_HEDGING_DELAY_MILLISECONDS = 300
 /** Silence after which a voter is removed if there is a spare one: two removals fit into the 4 s within which the users expect a complete group again. */
 const VOTER_SILENCE_MILLISECONDS = 2_000
+/** Silence after which a learner is removed. It is longer, because such a learner only has to be passed over, and begins anew if it returns. */
+const LEARNER_SILENCE_MILLISECONDS = 10_000
 /** Silence of the leader after which a replica asks its peers whether it was removed. */
 const LEADER_SILENCE_MILLISECONDS = 3_000
 const STATUS_TIMEOUT_MILLISECONDS = 500
@@ -53,6 +56,7 @@
   #isRunning = false
   #lastLeaderContactAt = performance.now()
   #wasCurrent = false
+  #failedIdentity: string | undefined
 
   /** @param options - the replica, its peers and the size of the group */
   constructor (options: ReplicaGroupManagerOptions) {
@@ -120,6 +124,7 @@
     try {
       const answer = await callPeer<ReconfigureAnswer>(peer, PeerMethod.Reconfigure, request, JOIN_TIMEOUT_MILLISECONDS)
       log.info('join-asked', { step: Step.Reconfigure, peer, done: answer.done, reason: answer.reason })
+      if (answer.reason === ReplicaRefusalReason.Retired) this.#retire()
       return answer.done
     } catch (error) {
       log.info('join-failed', { step: Step.Reconfigure, peer, cause: String(error) })
@@ -129,9 +134,15 @@
 
   async #repairGroup (): Promise<void> {
     const { replica, log, desiredVoters } = this.#options
-    const repair = chooseRepair(replica.status().configuration, replica.listSilent(VOTER_SILENCE_MILLISECONDS), desiredVoters())
+    const health: GroupHealth = {
+      silentIdentities: replica.listSilent(VOTER_SILENCE_MILLISECONDS),
+      lostIdentities: replica.listSilent(LEARNER_SILENCE_MILLISECONDS),
+      failedIdentity: this.#failedIdentity
+    }
+    const repair = chooseRepair(replica.status().configuration, health, desiredVoters())
     if (repair === undefined) return
     const answer = await this.#applyRepair(repair)
+    this.#failedIdentity = answer.done ? undefined : repair.identity
     log.info('group-repaired', { step: Step.Reconfigure, ...repair, done: answer.done, reason: answer.reason })
   }
 
@@ -143,12 +154,18 @@
   }
 
   async #checkRetired (): Promise<void> {
-    const { replica, callPeer, listPeers, onRetired, log } = this.#options
+    const { replica, callPeer, listPeers } = this.#options
     const { identity, group } = replica.status()
     const statuses = await Promise.all(listPeers().map((address) => fetchReplicaStatus(callPeer, address, STATUS_TIMEOUT_MILLISECONDS)))
     this.#lastLeaderContactAt = performance.now()
-    if (!statuses.some((status) => status !== undefined && status.group === group && status.configuration.retired.includes(identity))) return
-    log.warn('replica-retired', { step: Step.Reconfigure, identity })
+    if (statuses.some((status) => status !== undefined && status.group === group && status.configuration.retired.includes(identity))) this.#retire()
+  }
+
+  /** Gives up the identity of this replica, which was removed from the group. */
+  #retire (): void {
+    if (!this.#isRunning) return
+    const { replica, onRetired, log } = this.#options
+    log.warn('replica-retired', { step: Step.Reconfigure, identity: replica.status().identity })
     this.#isRunning = false
     onRetired()
   }
--- a/src/control/chooseRepair.ts
+++ b/src/control/chooseRepair.ts
@@ -1,5 +1,6 @@
 import { MemberRole } from '../agreement/MemberRole.js'
 import { listVoters, type ReplicaConfiguration } from '../agreement/ReplicaConfiguration.js'
+import type { ReplicaMember } from '../agreement/ReplicaMember.js'
 
 /** Next step towards a replica group with all its voters. */
 export type Repair =
@@ -12,26 +13,72 @@
   Promote = 'promote',
   /** Replace the voter that had the address of a learner by that learner. */
   Replace = 'replace',
-  /** Remove a voter that is gone. */
+  /** Remove a member that is gone. */
   Remove = 'remove'
 }
 
+/** What a leader knows of the members of its group besides their configuration. */
+export interface GroupHealth {
+  /** Identities of members that were silent for long, the longest silent first. */
+  silentIdentities: readonly string[]
+  /** Identities of members that were silent for so long that learners among them are removed. */
+  lostIdentities: readonly string[]
+  /** Identity that the last repair concerned, if that failed: other learners go first. */
+  failedIdentity?: string
+}
+
 /**
  * Chooses how a leader repairs its group. A voter that is gone for good is removed before its replacement votes: as long
- * as both are voters, the majority is larger, and further losses could leave no majority.
+ * as both are voters, the majority is larger, and further losses could leave no majority. A learner that is gone, too, never
+ * holds back those that joined after it.
  *
  * @param configuration - present members of the group
- * @param silentIdentities - identities of voters that were silent for long, the longest silent first
+ * @param health - members that are silent, and the last repair that failed
  * @param desiredVoters - number of voters in a complete group
  * @returns the next step, undefined when there is nothing to repair
  */
-export function chooseRepair (configuration: ReplicaConfiguration, silentIdentities: readonly string[], desiredVoters: number): Repair | undefined {
+export function chooseRepair (configuration: ReplicaConfiguration, health: GroupHealth, desiredVoters: number): Repair | undefined {
   const voters = listVoters(configuration)
-  const learner = configuration.members.find(({ role }) => role === MemberRole.Learner)
-  const replacedVoter = voters.find(({ address }) => address === learner?.address)
-  if (learner !== undefined && replacedVoter !== undefined) return { kind: RepairKind.Replace, identity: learner.identity, lost: replacedVoter.identity, address: learner.address }
-  const goneIdentity = silentIdentities[0]
-  const spareVoters = voters.length + (learner === undefined ? 0 : 1) - desiredVoters
-  if (goneIdentity !== undefined && spareVoters > 0) return { kind: RepairKind.Remove, identity: goneIdentity }
+  const learners = listUsableLearners(configuration, health)
+  return chooseReplacement(voters, learners) ??
+    chooseLearnerRemoval(configuration, health) ??
+    chooseVoterRemoval(voters, health, learners.length > 0 ? desiredVoters - 1 : desiredVoters) ??
+    choosePromotion(learners)
+}
+
+function listUsableLearners (configuration: ReplicaConfiguration, { silentIdentities, failedIdentity }: GroupHealth): ReplicaMember[] {
+  return listLearners(configuration)
+    .filter((learner) => !silentIdentities.includes(learner.identity) && !isSuperseded(learner, configuration))
+    .sort((left, right) => Number(left.identity === failedIdentity) - Number(right.identity === failedIdentity))
+}
+
+function chooseReplacement (voters: ReplicaMember[], learners: ReplicaMember[]): Repair | undefined {
+  for (const { identity, address } of learners) {
+    const lostVoter = voters.find((voter) => voter.address === address)
+    if (lostVoter !== undefined) return { kind: RepairKind.Replace, identity, lost: lostVoter.identity, address }
+  }
+  return undefined
+}
+
+function chooseLearnerRemoval (configuration: ReplicaConfiguration, { lostIdentities }: GroupHealth): Repair | undefined {
+  const gone = listLearners(configuration).find((learner) => lostIdentities.includes(learner.identity) || isSuperseded(learner, configuration))
+  return gone === undefined ? undefined : { kind: RepairKind.Remove, identity: gone.identity }
+}
+
+function chooseVoterRemoval (voters: ReplicaMember[], { silentIdentities }: GroupHealth, neededVoters: number): Repair | undefined {
+  const identity = silentIdentities.find((silent) => voters.some((voter) => voter.identity === silent))
+  return identity === undefined || voters.length <= neededVoters ? undefined : { kind: RepairKind.Remove, identity }
+}
+
+function choosePromotion ([learner]: ReplicaMember[]): Repair | undefined {
   return learner === undefined ? undefined : { kind: RepairKind.Promote, identity: learner.identity }
 }
+
+function listLearners ({ members }: ReplicaConfiguration): ReplicaMember[] {
+  return members.filter(({ role }) => role === MemberRole.Learner)
+}
+
+/** @returns whether a member that joined later has the same address: its disk was lost, and the identity with it */
+function isSuperseded (member: ReplicaMember, { members }: ReplicaConfiguration): boolean {
+  return members.slice(members.indexOf(member) + 1).some(({ address }) => address === member.address)
+}
