Acknowledge a departure only once it is durable at a majority

Cause: a departure or drain was acknowledged once a majority held it in memory; the recovery file was written 50 ms later. After the kill all control hosts restored the upstream as ready.

RegistrySharer.test.ts: a stuck disk counted towards the majority; a departure restored by a host never reached one that had been cut off.

Change: a control host confirms a departure after a sync of its recovery file, and counts itself in the same way. The file is written at the first change (later ones within 50 ms share a write) and again after a failed write. A host that starts merges the registries of a majority before it answers entry hosts, and passes on restored departures.

--- a/__tests__/control/RecoveryFile.test.ts
+++ b/__tests__/control/RecoveryFile.test.ts
@@ -44,6 +44,26 @@
   assert.deepEqual(restored?.upstreams, [createUpstreamRecord()])
 })
 
+test('changes are durable once they are flushed, also after a write that failed', async (context: TestContext) => {
+  pauseClock(context)
+  let version = 1
+  const { files, file, warnings } = createFixture(new MemoryFiles(() => 0), () => createRecoveryRecord(version))
+  files.faultAtOperation = files.operationCount + 1
+  file.scheduleWrite()
+  const failed = assert.rejects(file.flush(), /ENOSPC/)
+  await advance(context, 100)
+  await failed
+  assert.deepEqual(warnings, ['recovery-not-written'])
+  files.faultAtOperation = Number.POSITIVE_INFINITY
+  version = 2
+  file.scheduleWrite()
+  const flushed = file.flush()
+  await advance(context, 1_500)
+  await flushed
+  const restored = await createFixture(files.createSurvivor(), () => createRecoveryRecord(0)).file.read()
+  assert.equal(restored?.plan?.version, 2)
+})
+
 test('a missing or torn file restores nothing', async () => {
   const { files, file, warnings } = createFixture(new MemoryFiles(() => 0), () => createRecoveryRecord(1))
   assert.equal(await file.read(), undefined)
--- a/__tests__/registry/RegistrySharer.test.ts
+++ b/__tests__/registry/RegistrySharer.test.ts
@@ -21,6 +21,7 @@
     const upstreams = new UpstreamTable({ lostMilliseconds: 4_500 })
     const others = addresses.filter((other) => other !== address)
     const entryHosts = new EntryHostTable()
+    const disk = { isStalled: false, persisted: [] as string[] }
     const sharer = new RegistrySharer({
       upstreams,
       entryHosts,
@@ -31,6 +32,10 @@
       isRemote: (other) => remote.includes(other) !== remote.includes(address),
       isVoter: () => voters.includes(address),
       majoritySize: () => Math.floor(voters.length / 2) + 1,
+      persist: async () => {
+        if (disk.isStalled) await new Promise(() => {})
+        disk.persisted = upstreams.list().map(({ record }) => `${record.id} ${record.readiness}`)
+      },
       hasLocalReport: () => true,
       describeSelf: () => ({ peerAddress: address, domain: address, region: 'r' }),
       onControlHost: () => {},
@@ -38,7 +43,7 @@
       log: silentLog
     })
     const registry = new UpstreamRegistry({ upstreams, sharer, isKnownService: () => true, onChange: () => {}, log: silentLog })
-    return { upstreams, entryHosts, sharer, registry }
+    return { upstreams, entryHosts, sharer, registry, disk }
   })
   return { network, hosts }
 }
@@ -53,6 +58,64 @@
   for (const host of hosts.slice(0, 3)) assert.equal(host.upstreams.get('i-1')?.record.readiness, UpstreamReadiness.Draining)
 })
 
+// Guards against an acknowledged departure that is forgotten when all control hosts are killed.
+test('a departure is acknowledged only once it is durable at a majority of control hosts', async (context) => {
+  const { hosts } = startControlHosts(context)
+  for (const { disk } of hosts.slice(2)) disk.isStalled = true
+  const refused = hosts[0]!.registry.remove('i-1', 1_000)
+  await advance(context, 2_000)
+  assert.equal(await refused, AnnouncementResult.NotHeld)
+  hosts[2]!.disk.isStalled = false
+  const accepted = hosts[0]!.registry.remove('i-1', 1_000)
+  await advance(context, 2_000)
+  assert.equal(await accepted, AnnouncementResult.Accepted)
+  for (const { disk } of hosts.slice(0, 3)) assert.deepEqual(disk.persisted, ['i-1 gone'])
+})
+
+// Guards against a host whose own disk is stuck, and that counts itself among the majority all the same.
+test('a control host whose own disk is stuck acknowledges a drain once the disks of a majority hold it', async (context) => {
+  const { network, hosts } = startControlHosts(context)
+  hosts[0]!.disk.isStalled = true
+  network.removeHost('e')
+  const accepted = hosts[0]!.registry.announce(createUpstreamRecord({ readiness: UpstreamReadiness.Draining }))
+  await advance(context, 100)
+  assert.equal(await accepted, AnnouncementResult.Accepted)
+  network.removeHost('d')
+  const refused = hosts[0]!.registry.announce(createUpstreamRecord({ sequence: 2, readiness: UpstreamReadiness.Draining }))
+  await advance(context, 2_000)
+  assert.equal(await refused, AnnouncementResult.NotHeld)
+})
+
+test('a host that starts has merged the registries of a majority, even when the others start later', async (context) => {
+  const { network, hosts } = startControlHosts(context)
+  for (const host of hosts.slice(0, 3)) host.upstreams.merge(createUpstreamRecord({ readiness: UpstreamReadiness.Gone }))
+  for (const address of ['a', 'b', 'c']) network.pauseHost(address)
+  const fetched = hosts[3]!.sharer.fetchFromPeers()
+  await advance(context, 300)
+  for (const address of ['a', 'b', 'c']) network.resumeHost(address)
+  await advance(context, 100)
+  await fetched
+  assert.equal(hosts[3]!.upstreams.get('i-1')?.record.readiness, UpstreamReadiness.Gone)
+  hosts[3]!.sharer.stop()
+})
+
+// Guards against a departure that a cut-off host never hears of, because the host that was to tell it was started again.
+test('a host that starts tells the others of the departures that it restored', async (context) => {
+  const { network, hosts } = startControlHosts(context)
+  hosts[1]!.upstreams.merge(createUpstreamRecord())
+  hosts[0]!.upstreams.restore([createUpstreamRecord({ readiness: UpstreamReadiness.Gone })], 0)
+  network.cut('a', 'b')
+  const fetched = hosts[0]!.sharer.fetchFromPeers()
+  await advance(context, 1_600)
+  await fetched
+  hosts[0]!.sharer.run().catch(() => {})
+  await advance(context, 2_000)
+  network.heal()
+  await advance(context, 2_000)
+  assert.equal(hosts[1]!.upstreams.get('i-1')?.record.readiness, UpstreamReadiness.Gone)
+  hosts[0]!.sharer.stop()
+})
+
 test('without a majority a drain is not acknowledged, not even when it is announced again', async (context) => {
   const { network, hosts } = startControlHosts(context)
   for (const address of ['c', 'd', 'e']) network.removeHost(address)
--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -187,6 +187,7 @@
       listVoters: () => this.#replica.listOtherVoters(),
       isVoter: () => this.#replica.isVoter,
       majoritySize: () => this.#replica.majoritySize,
+      persist: () => this.#recoveryFile.flush(),
       hasLocalReport: (name) => this.#stateFeed.hasRecentReport(name),
       describeSelf: () => this.#describeSelf(),
       onControlHost: (host) => { this.#controlHosts.recordContact(host) },
--- a/src/control/RecoveryFile.ts
+++ b/src/control/RecoveryFile.ts
@@ -11,8 +11,10 @@
 import { pause } from '../utils/pause.js'
 
 const FILE_NAME = 'recovery'
-/** Delay before a write, so that changes within it are written together: upstreams often change in groups. */
-const BATCH_DELAY_MILLISECONDS = 50
+/** Minimum interval between the starts of two writes: upstreams often change in groups, which are written together. */
+const WRITE_INTERVAL_MILLISECONDS = 50
+/** Delay after a failed write, so that a full disk is not written to in a loop. */
+const RETRY_DELAY_MILLISECONDS = 1_000
 
 /** Interval at which the file is written without a change, so that its age tells how long the host was down. */
 const REFRESH_INTERVAL_MILLISECONDS = 20_000
@@ -46,14 +48,19 @@
 
 /**
  * Stores the state that entry hosts need right after all hosts were killed: the plan that this replica has applied, and
- * the upstreams that it knew. The file is optional: if it is missing or torn, the state is complete only once a leader is
+ * the upstreams that it knew, among them those whose departure it has confirmed. The file is optional: if it is missing or torn, the state is complete only once a leader is
  * elected and all upstreams have announced themselves, which takes seconds.
  */
 export class RecoveryFile {
   readonly #options: RecoveryFileOptions
   readonly #path: string
-  #isWriteDue = false
+  /** Number of changes so far, and of those that the file on disk holds. */
+  #changeCount = 0
+  #savedCount = 0
   #isWriting = false
+  #isStopped = false
+  #lastWriteStartedAt = Number.NEGATIVE_INFINITY
+  #waiters: Array<{ changeCount: number, settle: (failure?: unknown) => void }> = []
   #refreshTimer: NodeJS.Timeout | undefined
 
   /** @param options - the state to store, and the folder for the file */
@@ -79,26 +86,64 @@
   }
 
   stop (): void {
+    this.#isStopped = true
     clearInterval(this.#refreshTimer)
   }
 
-  /** Schedules a write of the present state, unless one is scheduled. A failed write is only logged. */
+  /** Schedules a write of the present state. A failed write is logged, and tried again. */
   scheduleWrite (): void {
-    this.#isWriteDue = true
-    if (this.#isWriting) return
+    this.#changeCount += 1
+    if (!this.#isWriting) this.#writeUntilSaved().catch((error: unknown) => { this.#logFailure(error) })
+  }
+
+  /**
+   * Waits until all changes so far are durable.
+   *
+   * @throws the error of the next write, if that fails
+   */
+  async flush (): Promise<void> {
+    if (this.#savedCount === this.#changeCount) return
+    await new Promise<void>((resolve, reject) => {
+      const settle = (failure?: unknown): void => { if (failure === undefined) resolve(); else reject(failure) }
+      this.#waiters.push({ changeCount: this.#changeCount, settle })
+    })
+  }
+
+  /** Writes until the file holds all changes. A host that stops makes no further attempt after a failed one. */
+  async #writeUntilSaved (): Promise<void> {
     this.#isWriting = true
-    this.#write().catch((error: unknown) => {
-      this.#options.log.warn('recovery-not-written', { step: Step.Storage, peer: this.#path, cause: String(error) })
-    }).finally(() => { this.#isWriting = false })
+    while (this.#savedCount < this.#changeCount) {
+      await pause(Math.max(0, this.#lastWriteStartedAt + WRITE_INTERVAL_MILLISECONDS - performance.now()))
+      try {
+        await this.#write()
+      } catch (error) {
+        this.#logFailure(error)
+        this.#settleWaiters(Number.POSITIVE_INFINITY, error)
+        if (this.#isStopped) break
+        await pause(RETRY_DELAY_MILLISECONDS)
+      }
+    }
+    this.#isWriting = false
+  }
+
+  #logFailure (error: unknown): void {
+    this.#options.log.warn('recovery-not-written', { step: Step.Storage, peer: this.#path, cause: String(error) })
   }
 
   async #write (): Promise<void> {
-    while (this.#isWriteDue) {
-      await pause(BATCH_DELAY_MILLISECONDS)
-      this.#isWriteDue = false
-      const { files, describe } = this.#options
-      const stored: StoredRecord = { ...describe(), writtenAt: Date.now() }
-      await writeFileAtomically(files, this.#path, encodeFrame(Buffer.from(JSON.stringify(stored))))
-    }
+    const { files, describe } = this.#options
+    const changeCount = this.#changeCount
+    this.#lastWriteStartedAt = performance.now()
+    const stored: StoredRecord = { ...describe(), writtenAt: Date.now() }
+    await writeFileAtomically(files, this.#path, encodeFrame(Buffer.from(JSON.stringify(stored))))
+    this.#savedCount = changeCount
+    this.#settleWaiters(changeCount)
+  }
+
+  /** Settles those that wait for changes up to a number of them. */
+  #settleWaiters (changeCount: number, failure?: unknown): void {
+    const settled = this.#waiters.filter((waiter) => waiter.changeCount <= changeCount)
+    this.#waiters = this.#waiters.filter((waiter) => waiter.changeCount > changeCount)
+    for (const { settle } of settled) settle(failure)
   }
 }
--- a/src/registry/PeerOutbox.ts
+++ b/src/registry/PeerOutbox.ts
@@ -7,7 +7,7 @@
 /** Timeout of one call: a round trip between regions takes 110 ms, and a busy host takes longer. */
 const CALL_TIMEOUT_MILLISECONDS = 400
 /** How long a sender waits for a confirmation, below the second within which an upstream expects the answer to its announcement. */
-const CONFIRMATION_TIMEOUT_MILLISECONDS = 900
+export const CONFIRMATION_TIMEOUT_MILLISECONDS = 900
 
 /** Delay before an unconfirmed record is sent again. */
 const RESEND_DELAY_MILLISECONDS = 50
@@ -42,6 +42,11 @@
     this.#pendingRenewalsById.set(record.id, { record, receivedAt: performance.now() })
   }
 
+  /** Queues a record for the next periodic message, until it is confirmed. */
+  addRecord (record: UpstreamRecord): void {
+    if (!this.#pendingRecordsById.has(record.id)) this.#pendingRecordsById.set(record.id, { record, queuedAt: performance.now() })
+  }
+
   /**
    * Sends a record at once, and repeatedly until it is confirmed. After the timeout it stays queued for the periodic messages.
    *
@@ -77,12 +82,10 @@
     for (const entry of pending) {
       if (this.#pendingRecordsById.get(entry.record.id) === entry) this.#pendingRecordsById.delete(entry.record.id)
     }
-    for (const id of unknown) this.#queueRecord(id)
-  }
-
-  #queueRecord (id: string): void {
-    const record = this.#options.findRecord(id)
-    if (record !== undefined && !this.#pendingRecordsById.has(id)) this.#pendingRecordsById.set(id, { record, queuedAt: performance.now() })
+    for (const id of unknown) {
+      const record = this.#options.findRecord(id)
+      if (record !== undefined) this.addRecord(record)
+    }
   }
 }
 
--- a/src/registry/RegistrySharer.ts
+++ b/src/registry/RegistrySharer.ts
@@ -4,12 +4,14 @@
 import { PeerMethod } from '../types/PeerMethod.js'
 import { Step } from '../types/Step.js'
 import { pause } from '../utils/pause.js'
+import { waitWithinDeadline } from '../utils/waitWithinDeadline.js'
+import { waitForGrants } from '../agreement/tasks/waitForGrants.js'
 import type { EntryHostTable } from './EntryHostTable.js'
-import { PeerOutbox } from './PeerOutbox.js'
+import { CONFIRMATION_TIMEOUT_MILLISECONDS, PeerOutbox } from './PeerOutbox.js'
 import type { ControlHost } from './ControlHost.js'
 import type { ShareRegistryReply, ShareRegistryRequest } from './RegistryMessages.js'
 import type { UpstreamEntry } from './UpstreamEntry.js'
-import type { UpstreamRecord } from './UpstreamRecord.js'
+import { isLeaving, type UpstreamRecord } from './UpstreamRecord.js'
 import type { UpstreamTable } from './UpstreamTable.js'
 
 /** Dependencies of {@link RegistrySharer}. */
@@ -28,6 +30,8 @@
   isVoter: () => boolean
   /** @returns number of voting members that form a majority */
   majoritySize: () => number
+  /** Resolves once all changes of the upstreams so far are durable at this control host. */
+  persist: () => Promise<void>
   /** @returns whether an entry host reports to this control host directly; only such reports are passed on */
   hasLocalReport: (name: string) => boolean
   /** @returns address and location of this control host */
@@ -44,6 +48,11 @@
 const INTERVALS_PER_REMOTE_MESSAGE = 2
 /** Timeout for fetching the full registry of another control host. */
 const FETCH_TIMEOUT_MILLISECONDS = 1_000
+/** Pause before a control host that did not answer is asked for its registry again; doubled after each failure. */
+const FETCH_RETRY_MILLISECONDS = 100
+const MAXIMUM_FETCH_RETRY_MILLISECONDS = 5_000
+/** Maximum time that a host which starts waits for the registries of a majority; entry hosts keep what they know meanwhile. */
+const MAXIMUM_FETCH_MILLISECONDS = 1_500
 /** Maximum age of the entry host reports that are passed on to other control hosts. */
 const MAXIMUM_ENTRY_HOST_AGE_MILLISECONDS = 1_200
 
@@ -52,11 +61,12 @@
   readonly #options: RegistrySharerOptions
   readonly #outboxesByAddress = new Map<string, PeerOutbox>()
   #isRunning = false
+  #isStopped = false
 
   /** @param options - the tables to share, the peers and the transport */
   constructor (options: RegistrySharerOptions) {
     this.#options = options
-    options.registerHandler(PeerMethod.ShareRegistry, (request: ShareRegistryRequest) => this.#merge(request))
+    options.registerHandler(PeerMethod.ShareRegistry, (request: ShareRegistryRequest) => this.#confirm(request))
     options.registerHandler(PeerMethod.FetchRegistry, () => this.#describeRegistry())
   }
 
@@ -76,18 +86,42 @@
 
   stop (): void {
     this.#isRunning = false
+    this.#isStopped = true
   }
 
-  /** Merges the registries of the other control hosts: without them, a host that starts would mistake a late announcement for a new upstream. */
+  /**
+   * Merges the registries of the other control hosts: without them, a host that starts would mistake a late announcement for
+   * a new upstream, and bring back one whose departure it had not heard of. What a majority holds is known once the
+   * registries of a majority are merged; the others are merged later.
+   */
   async fetchFromPeers (): Promise<void> {
-    const { callPeer, log } = this.#options
-    await Promise.all(this.#options.listPeers().map(async (address) => {
+    const { listPeers, listVoters, majoritySize, isVoter, upstreams } = this.#options
+    const voters = listVoters()
+    const neededVoters = Math.min(voters.length, majoritySize() - (isVoter() ? 1 : 0))
+    const fetches = listPeers().map((address) => this.#fetchFrom(address, voters.length > 0).then((isFetched) => isFetched && voters.includes(address)))
+    const majority = voters.length === 0 ? Promise.all(fetches) : waitForGrants(fetches, neededVoters)
+    await waitWithinDeadline<unknown>(majority, performance.now() + MAXIMUM_FETCH_MILLISECONDS)
+    for (const { record } of upstreams.list()) if (isLeaving(record)) this.#queueForPeers(record)
+  }
+
+  /** @returns whether the registry was fetched; with retries, only the end of one of the two hosts ends the attempts */
+  async #fetchFrom (address: string, isRetried: boolean): Promise<boolean> {
+    const { callPeer, listPeers, log } = this.#options
+    for (let pauseMilliseconds = FETCH_RETRY_MILLISECONDS; ; pauseMilliseconds = Math.min(2 * pauseMilliseconds, MAXIMUM_FETCH_RETRY_MILLISECONDS)) {
       try {
         this.#merge(await callPeer<ShareRegistryRequest>(address, PeerMethod.FetchRegistry, {}, FETCH_TIMEOUT_MILLISECONDS))
+        return true
       } catch (error) {
         log.warn('registry-not-fetched', { step: Step.Registry, peer: address, cause: String(error) })
       }
-    }))
+      if (!isRetried) return false
+      await pause(pauseMilliseconds)
+      if (this.#isStopped || !listPeers().includes(address)) return false
+    }
+  }
+
+  #queueForPeers (record: UpstreamRecord): void {
+    for (const address of this.#options.listPeers()) this.#getOutbox(address).addRecord(record)
   }
 
   /** Sends an announcement that changed nothing but its number to the other control hosts, with the next periodic message. */
@@ -97,26 +131,24 @@
 
   /** Sends a changed record to the other control hosts at once, and to each of them until it confirms. */
   shareChange (record: UpstreamRecord): void {
-    this.shareWithMajority(record).catch(() => {})
+    for (const address of this.#options.listPeers()) this.#getOutbox(address).send(record).catch(() => {})
   }
 
   /**
-   * Sends a record to the other control hosts, and waits until a majority holds it.
+   * Sends a record to the other control hosts, and waits until it is durable at a majority: all of them may be killed right
+   * after the acknowledgement.
    *
-   * @param record - the changed record
-   * @returns whether a majority of the voting members holds it in time; this host counts only if it votes
+   * @param record - the changed record, merged here
+   * @returns whether a majority of the voting members has made it durable in time; this host counts only if it votes
    */
   async shareWithMajority (record: UpstreamRecord): Promise<boolean> {
-    const neededConfirmations = this.#options.majoritySize() - (this.#options.isVoter() ? 1 : 0)
-    if (neededConfirmations <= 0) return true
-    const voters = this.#options.listVoters()
-    for (const address of this.#options.listPeers()) if (!voters.includes(address)) this.#getOutbox(address).send(record).catch(() => {})
-    const calls = voters.map((address) => this.#getOutbox(address).send(record))
-    return await new Promise((resolve) => {
-      let confirmations = 0
-      for (const call of calls) call.then(() => { if (++confirmations === neededConfirmations) resolve(true) }, () => {})
-      Promise.allSettled(calls).then(() => { resolve(confirmations >= neededConfirmations) }, () => {})
-    })
+    const { listPeers, listVoters, isVoter, majoritySize, persist } = this.#options
+    const voters = listVoters()
+    const sends = listPeers().map((address) => ({ address, sent: this.#getOutbox(address).send(record).then(() => true, () => false) }))
+    const confirmations = sends.filter(({ address }) => voters.includes(address)).map(({ sent }) => sent)
+    if (isVoter()) confirmations.push(persist().then(() => true, () => false))
+    const isConfirmed = waitForGrants(confirmations, majoritySize())
+    return await waitWithinDeadline(isConfirmed, performance.now() + CONFIRMATION_TIMEOUT_MILLISECONDS) ?? false
   }
 
   #getOutbox (address: string): PeerOutbox {
@@ -143,6 +175,13 @@
     return { sender: this.#options.describeSelf(), records, heard: [], entryHosts: this.#options.entryHosts.listWithAge(MAXIMUM_ENTRY_HOST_AGE_MILLISECONDS) }
   }
 
+  /** Answers a message of another control host, which counts on each departure in it from then on. */
+  async #confirm (request: ShareRegistryRequest): Promise<ShareRegistryReply> {
+    const reply = this.#merge(request)
+    if (request.records.some(({ record }) => isLeaving(record))) await this.#options.persist()
+    return reply
+  }
+
   #merge ({ sender, records, heard, entryHosts }: ShareRegistryRequest): ShareRegistryReply {
     const { upstreams, onChange, onControlHost } = this.#options
     onControlHost(sender)
--- a/src/registry/UpstreamRecord.ts
+++ b/src/registry/UpstreamRecord.ts
@@ -45,6 +45,14 @@
   return record.readiness === UpstreamReadiness.Gone
 }
 
+/**
+ * @param record - a record of an upstream
+ * @returns whether the upstream accepts no more work, which is acknowledged to it and must outlive restarts
+ */
+export function isLeaving (record: UpstreamRecord): boolean {
+  return record.readiness !== UpstreamReadiness.Ready
+}
+
 /**
  * @param record - a record of an upstream
  * @returns a name of this start of the upstream; identifiers may be used again after a restart
