Carry out no evacuation order whose caller was answered elsewhere

Cause: evacuation orders had nothing that shows them to be old, and control hosts did not look whether the caller of an order still waits.

Change: the entry of such an order holds the revision of the evacuations that its host knew before it checked that the caller waits. On a newer revision it changes nothing, and the host starts over with the check. A plan, and a deregistration without a time of birth, are dropped if the caller has left.

--- a/__tests__/plan/PlanState.test.ts
+++ b/__tests__/plan/PlanState.test.ts
@@ -52,3 +52,14 @@
   state.apply({ kind: PlanEntryKind.Return, domain: 'gijon' }, 3)
   assert.deepEqual(state.evacuated, ['oviedo'])
 })
+
+test('an evacuation order on an old revision changes nothing, unless its failure domain is in the ordered state', () => {
+  const state = new PlanState()
+  state.apply({ kind: PlanEntryKind.Evacuate, domain: 'gijon', baseRevision: 0 }, 1)
+  state.apply({ kind: PlanEntryKind.Return, domain: 'gijon', baseRevision: 1 }, 2)
+  state.apply({ kind: PlanEntryKind.Evacuate, domain: 'gijon', baseRevision: 2 }, 3)
+  assert.equal(state.apply({ kind: PlanEntryKind.Return, domain: 'gijon', baseRevision: 1 }, 4), PlanResult.OtherBase)
+  assert.deepEqual([state.evacuated, state.evacuationRevision], [['gijon'], 3])
+  assert.equal(state.apply({ kind: PlanEntryKind.Evacuate, domain: 'gijon', baseRevision: 0 }, 5), PlanResult.Accepted, 'an accepted order that is sent again')
+  assert.equal(state.apply({ kind: PlanEntryKind.Return, domain: 'gijon' }, 6), PlanResult.Accepted, 'an entry of an earlier version')
+})
--- a/src/hibiscusrelay.ts
+++ b/src/hibiscusrelay.ts
@@ -99,6 +99,8 @@
 export { PlanProblem, type PlanFault } from './plan/PlanFault.js'
 export { PlanRegistry, type PlanAnswer, type PlanRegistryOptions } from './plan/PlanRegistry.js'
 export { PlanResult } from './plan/PlanResult.js'
+export type { IsCallerWaiting } from './plan/PlanRegistry.js'
+export { hasCallerDisconnected } from './transport/hasCallerDisconnected.js'
 export { PlanState, type StoredPlanState } from './plan/PlanState.js'
 export { RouteTable } from './plan/RouteTable.js'
 export type { ListenerLimits, PlanRoute, PlanService, RouteTarget, RoutingPlan } from './plan/RoutingPlan.js'
--- a/src/plan/PlanEntry.ts
+++ b/src/plan/PlanEntry.ts
@@ -23,8 +23,16 @@
   document: string
 }
 
+/** An order to evacuate a failure domain, or to return it. */
+export interface EvacuationEntry {
+  kind: PlanEntryKind.Evacuate | PlanEntryKind.Return
+  domain: string
+  /** Revision of the evacuations on which the order is based; entries of earlier versions have none. */
+  baseRevision?: number
+}
+
 /** One entry of the replicated log of plans. */
 export type PlanEntry =
   | { kind: PlanEntryKind.Submit, submission: PlanSubmission }
-  | { kind: PlanEntryKind.Evacuate | PlanEntryKind.Return, domain: string }
+  | EvacuationEntry
   | { kind: PlanEntryKind.Barrier }
--- a/src/plan/PlanRegistry.ts
+++ b/src/plan/PlanRegistry.ts
@@ -3,11 +3,19 @@
 import type { Log } from '../observe/Log.js'
 import { Step } from '../types/Step.js'
 import { checkPlan } from './checkPlan.js'
-import { PlanEntryKind, type PlanEntry, type PlanSubmission } from './PlanEntry.js'
+import { PlanEntryKind, type EvacuationEntry, type PlanEntry, type PlanSubmission } from './PlanEntry.js'
 import type { PlanFault } from './PlanFault.js'
 import { PlanResult } from './PlanResult.js'
 import type { PlanState } from './PlanState.js'
 
+/** Number of times that an order is based on newer evacuations, when others are ordered at the same time. */
+const MAXIMUM_EVACUATION_ATTEMPTS = 8
+
+/** @returns whether the caller of an order still waits for the answer */
+export type IsCallerWaiting = () => Promise<boolean>
+
+const alwaysWaiting: IsCallerWaiting = async () => true
+
 /** Answer to a submitted plan. */
 export interface PlanAnswer {
   result: PlanResult
@@ -36,20 +44,33 @@
   /**
    * Submits a plan. A plan that is not accepted never comes into force, unless the result is unknown.
    *
+   * @param submission - the plan and its document
+   * @param isCallerWaiting - whether the operator still waits for the answer; otherwise nothing is submitted
    * @returns the result, and the faults of an invalid plan
    */
-  async submit (submission: PlanSubmission): Promise<PlanAnswer> {
+  async submit (submission: PlanSubmission, isCallerWaiting: IsCallerWaiting = alwaysWaiting): Promise<PlanAnswer> {
     const faults = checkPlan(submission.plan)
-    const result = faults.length > 0 ? PlanResult.Invalid : await this.#proposeOrder({ kind: PlanEntryKind.Submit, submission })
+    const result = faults.length > 0 ? PlanResult.Invalid : await this.#submitValid(submission, isCallerWaiting)
     const { version } = submission.plan
     this.#options.log.info('plan-submitted', { step: Step.PlanSubmit, version, base: submission.baseVersion, result, fault: faults[0]?.problem })
     return { result, faults }
   }
 
-  /** Stops new work for the upstreams of a failure domain, or allows it again. */
-  async evacuate (domain: string, isEvacuated: boolean): Promise<PlanResult> {
+  /**
+   * Stops new work for the upstreams of a failure domain, or allows it again. The order is based on the evacuations that this
+   * host knows, and on a caller that waits for it after that, so a host that was frozen or cut off carries out no order whose
+   * caller has been answered by another host in the meantime.
+   *
+   * @param domain - failure domain
+   * @param isEvacuated - whether its upstreams get no new work from now on
+   * @param isCallerWaiting - whether the operator still waits for the answer
+   */
+  async evacuate (domain: string, isEvacuated: boolean, isCallerWaiting: IsCallerWaiting = alwaysWaiting): Promise<PlanResult> {
     const kind = isEvacuated ? PlanEntryKind.Evacuate : PlanEntryKind.Return
-    const result = await this.#proposeOrder({ kind, domain })
+    let result = PlanResult.OtherBase
+    for (let attempt = 0; attempt < MAXIMUM_EVACUATION_ATTEMPTS && result === PlanResult.OtherBase; attempt += 1) {
+      result = await this.#evacuateOnce(kind, domain, isCallerWaiting)
+    }
     this.#options.log.info('evacuation-ordered', { step: Step.PlanSubmit, domain, evacuated: isEvacuated, result })
     return result
   }
@@ -61,10 +82,24 @@
     return { current: this.#options.state.current }
   }
 
-  async #proposeOrder (entry: PlanEntry): Promise<PlanResult> {
-    const answer = await this.#options.propose(entry)
-    if (answer.outcome === ProposalOutcome.Committed) return answer.result ?? PlanResult.Unknown
-    this.#options.log.warn('order-undecided', { step: Step.PlanSubmit, kind: entry.kind, outcome: answer.outcome, reason: answer.reason })
-    return PlanResult.Unknown
+  async #submitValid (submission: PlanSubmission, isCallerWaiting: IsCallerWaiting): Promise<PlanResult> {
+    if (!await isCallerWaiting()) return PlanResult.Abandoned
+    return (await this.#proposeOrder({ kind: PlanEntryKind.Submit, submission })).result
+  }
+
+  async #evacuateOnce (kind: EvacuationEntry['kind'], domain: string, isCallerWaiting: IsCallerWaiting): Promise<PlanResult> {
+    // The revision is read before the caller is checked: an order that another host has accepted since makes it an old one.
+    const baseRevision = this.#options.state.evacuationRevision
+    if (!await isCallerWaiting()) return PlanResult.Abandoned
+    const { result, index } = await this.#proposeOrder({ kind, domain, baseRevision })
+    if (result === PlanResult.OtherBase && index !== undefined && !await this.#options.waitApplied(index)) return PlanResult.Unknown
+    return result
+  }
+
+  async #proposeOrder (entry: PlanEntry): Promise<{ result: PlanResult, index?: number }> {
+    const { outcome, reason, result = PlanResult.Unknown, index } = await this.#options.propose(entry)
+    if (outcome === ProposalOutcome.Committed) return { result, index }
+    this.#options.log.warn('order-undecided', { step: Step.PlanSubmit, kind: entry.kind, outcome, reason })
+    return { result: PlanResult.Unknown }
   }
 }
--- a/src/plan/PlanState.ts
+++ b/src/plan/PlanState.ts
@@ -1,4 +1,4 @@
-import { PlanEntryKind, type PlanEntry, type PlanSubmission } from './PlanEntry.js'
+import { PlanEntryKind, type EvacuationEntry, type PlanEntry, type PlanSubmission } from './PlanEntry.js'
 import { PlanResult } from './PlanResult.js'
 import type { PlanSource } from './PlanSource.js'
 import type { RoutingPlan } from './RoutingPlan.js'
@@ -49,8 +49,7 @@
   apply (entry: PlanEntry, index: number): PlanResult {
     if (entry.kind === PlanEntryKind.Submit) return this.#submit(entry.submission)
     if (entry.kind === PlanEntryKind.Barrier) return PlanResult.Accepted
-    this.#setEvacuated(entry.domain, entry.kind === PlanEntryKind.Evacuate, index)
-    return PlanResult.Accepted
+    return this.#setEvacuated(entry, index)
   }
 
   snapshot (): StoredPlanState {
@@ -83,9 +82,13 @@
     this.#acceptedDigests.delete(oldest!)
   }
 
-  #setEvacuated (domain: string, isEvacuated: boolean, index: number): void {
+  /** An order on a revision that is no longer the newest changes nothing: its caller may have been answered elsewhere, and others ordered since. */
+  #setEvacuated ({ kind, domain, baseRevision = this.#evacuationRevision }: EvacuationEntry, index: number): PlanResult {
+    const isEvacuated = kind === PlanEntryKind.Evacuate
+    if (this.#evacuated.has(domain) !== isEvacuated && baseRevision !== this.#evacuationRevision) return PlanResult.OtherBase
     if (isEvacuated) this.#evacuated.add(domain)
     else this.#evacuated.delete(domain)
     this.#evacuationRevision = index
+    return PlanResult.Accepted
   }
 }
--- a/src/registry/UpstreamRegistry.ts
+++ b/src/registry/UpstreamRegistry.ts
@@ -1,4 +1,5 @@
 import type { Log } from '../observe/Log.js'
+import type { IsCallerWaiting } from '../plan/PlanRegistry.js'
 import { Step } from '../types/Step.js'
 import type { RegistrySharer } from './RegistrySharer.js'
 import { UpstreamReadiness, type UpstreamRecord } from './UpstreamRecord.js'
@@ -49,10 +50,13 @@
    *
    * @param id - identifier of the upstream
    * @param bornAt - time of its start in Unix milliseconds; if undefined, that of the known record
+   * @param isCallerWaiting - whether the caller still waits for the answer; without a start time, a call whose caller has left
+   *   may concern an earlier start of the upstream
    */
-  async remove (id: string, bornAt: number | undefined): Promise<AnnouncementResult> {
+  async remove (id: string, bornAt: number | undefined, isCallerWaiting: IsCallerWaiting = async () => true): Promise<AnnouncementResult> {
     const { upstreams } = this.#options
     const knownRecord = upstreams.get(id)?.record
+    if (bornAt === undefined && !await isCallerWaiting()) return AnnouncementResult.NotHeld
     const startedAt = bornAt ?? knownRecord?.bornAt
     if (startedAt === undefined) return AnnouncementResult.NotHeld
     const record = { ...knownRecord ?? createGoneRecord(id), bornAt: startedAt, readiness: UpstreamReadiness.Gone }
