Heed what upstreams say of themselves in their answers

Cause: neither header was read.

Change: platform/ decodes both headers from the head of every answer, also of answers that are discarded or break off. The entry host marks the start of a leaving upstream (no announcement of that start takes it back, its connections are closed once idle, its end is planned) and keeps from an upstream for its pause: 300 s at most, the longest of several holds, unreadable values are logged. Hosts return one after another, with one request in flight at first. When all upstreams are paused the guest is refused at once with the time of the first return. The daemon form honours the pause.

--- a/__tests__/support/createSender.ts
+++ b/__tests__/support/createSender.ts
@@ -3,8 +3,10 @@
 import type { EntryRelayOptions } from '../../src/entry/EntryRelay.js'
 import { SuspectGate } from '../../src/entry/SuspectGate.js'
 import { UpstreamRuns } from '../../src/entry/UpstreamRuns.js'
+import { UpstreamNotices } from '../../src/entry/UpstreamNotices.js'
 import { UpstreamSender, type UpstreamSenderOptions } from '../../src/entry/UpstreamSender.js'
 import { SuspectDesk, type SuspectPermitRequest } from '../../src/crashes/SuspectDesk.js'
+import { Counters } from '../../src/observe/Counters.js'
 import { StopWindow } from '../../src/limits/StopWindow.js'
 import type { CallPeer } from '../../src/transport/CallPeer.js'
 
@@ -25,7 +27,8 @@
   const crashes = new CrashTable()
   const detector = new CrashDetector({ runs, crashes, known: options.known, probe: options.probe, onChange: () => {}, log: silentLog })
   const gate = new SuspectGate({ crashes, detector, listControlHosts: () => ['control'], callPeer: createPermitCalls(), log: silentLog })
-  const sender = new UpstreamSender({ ...options, runs, crashes, detector, onExcuse: () => {}, stopWindow: new StopWindow(), log: silentLog })
+  const notices = new UpstreamNotices({ hostName: 'entry-1', known: options.known, loads: options.loads, onLeaving: () => {}, counters: new Counters(), log: silentLog })
+  const sender = new UpstreamSender({ ...options, notices, runs, crashes, detector, onExcuse: () => {}, stopWindow: new StopWindow(), log: silentLog })
   return { gate, runs, sender, crashes, detector }
 }
 
--- a/src/cli/trace/collectTrace.ts
+++ b/src/cli/trace/collectTrace.ts
@@ -3,7 +3,7 @@
 /** Events up to this long before a line of the request may have caused its outcome. */
 const CONTEXT_WINDOW_MILLISECONDS = 3_000
 /** Events that may explain an outcome: changes of upstreams, plans, control hosts or settings, dropped log lines, and a stop. */
-const CONTEXT_EVENTS = new Set(['upstream-died', 'upstream-silent', 'upstream-changed', 'plan-in-force', 'control-host-left', 'control-host-followed', 'evacuation-ordered', 'lines-dropped', 'settings-reloaded', 'stopping'])
+const CONTEXT_EVENTS = new Set(['upstream-died', 'upstream-silent', 'upstream-changed', 'upstream-leaving', 'upstream-paused', 'plan-in-force', 'control-host-left', 'control-host-followed', 'evacuation-ordered', 'lines-dropped', 'settings-reloaded', 'stopping'])
 
 /** The log lines that concern one request, each list ordered by time. */
 export interface RequestTrace {
--- a/src/entry/CrashDetector.ts
+++ b/src/entry/CrashDetector.ts
@@ -140,7 +140,7 @@
 
   #recordEnd (record: UpstreamRecord, incarnation: string): void {
     const { runs, crashes, known, onChange, log } = this.#options
-    if (isLeaving(known.upstreams.get(record.id)?.record, record.bornAt) && !known.upstreams.isReplaced(record)) return
+    if ((known.isLeaving(record) || isLeaving(known.upstreams.get(record.id)?.record, record.bornAt)) && !known.upstreams.isReplaced(record)) return
     this.#ended.set(incarnation, true)
     const fingerprints = runs.listFingerprints(incarnation)
     const { revision } = crashes
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -24,6 +24,7 @@
 import { SuspectGate } from './SuspectGate.js'
 import { UpstreamConnections } from './UpstreamConnections.js'
 import { UpstreamLoads } from './UpstreamLoads.js'
+import { UpstreamNotices } from './UpstreamNotices.js'
 import type { UpstreamProtocol } from './UpstreamProtocol.js'
 import { UpstreamRuns } from './UpstreamRuns.js'
 import { UpstreamSender } from './UpstreamSender.js'
@@ -207,6 +208,14 @@
       crashes: this.#crashes,
       detector: this.#crashDetector,
       onExcuse: () => { this.#crashSharer.share() },
+      notices: new UpstreamNotices({
+        hostName: this.#options.settings().name,
+        known: this.#known,
+        loads: this.#loads,
+        onLeaving: () => { this.#pruneGoneUpstreams() },
+        counters: this.#options.counters,
+        log
+      }),
       stopWindow: this.#stopWindow,
       answerBufferBytes: MAXIMUM_BUFFERED_ANSWER_BYTES,
       answerBudget: new AnswerBudget(MAXIMUM_BUFFERED_BYTES, MAXIMUM_STREAMED_ANSWERS),
@@ -237,7 +246,9 @@
       const entry = this.#known.upstreams.get(id)
       return entry !== undefined && !isGone(entry.record)
     }
-    this.#connections.closeUnused(({ id }) => isInUse(id))
+    this.#known.pruneLeaving()
+    this.#loads.prunePauses(performance.now())
+    this.#connections.closeUnused((record) => isInUse(record.id) && !this.#known.isLeaving(record))
     this.#loads.removeUnused(isInUse)
   }
 }
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -134,7 +134,17 @@
     })
     const chosen = choosePlacement(candidates)
     progress.recordPlacement(candidates, chosen)
-    return chosen ?? (candidates.length === 0 ? RefusalReason.NoUpstream : RefusalReason.UpstreamsFull)
+    return chosen ?? (candidates.length === 0 ? this.#explainAbsence(progress) : RefusalReason.UpstreamsFull)
+  }
+
+  /** @returns why no upstream may get the request */
+  #explainAbsence (progress: RequestProgress): RefusalReason {
+    const { known, loads } = this.#options
+    const now = performance.now()
+    const firstReturnAt = loads.findFirstReturn(known.listReady(progress.service).map(({ record }) => record), now)
+    if (firstReturnAt === undefined) return RefusalReason.NoUpstream
+    progress.returnMilliseconds = firstReturnAt - now
+    return RefusalReason.UpstreamsPaused
   }
 
   #canUseCold (record: UpstreamRecord): boolean {
@@ -212,7 +222,8 @@
 
   /** A request that may have run is answered as unknown, never as refused. */
   #finishUnanswered (progress: RequestProgress, reason: RefusalReason): RelayAnswer {
-    return progress.mayHaveRun ? answerUnknown(progress.lostReason) : refuse(reason)
+    if (progress.mayHaveRun) return answerUnknown(progress.lostReason)
+    return { ...refuse(reason), retryAfterMilliseconds: reason === RefusalReason.UpstreamsPaused ? progress.returnMilliseconds : undefined }
   }
 
   /**
--- a/src/entry/GuestListener.ts
+++ b/src/entry/GuestListener.ts
@@ -8,7 +8,6 @@
 import { deliverAnswer } from '../relay/deliverBody.js'
 import { isHopByHopHeader } from '../relay/isHopByHopHeader.js'
 import { refuse } from '../relay/refuse.js'
-import { getRefusalStatus } from '../relay/getRefusalStatus.js'
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
 import { countHeadBytes } from '../guest/countHeadBytes.js'
 import { listEndToEndHeaders } from '../guest/listEndToEndHeaders.js'
@@ -117,13 +116,13 @@
     for (const { name, value } of answer.headers) {
       if (!isHopByHopHeader(name)) response.appendHeader(name, value)
     }
-    if (answer.reason !== undefined) this.#setRefusalHeaders(response, answer.status, answer.reason, request.guestDeadline - performance.now())
+    if (answer.reason !== undefined) this.#setRefusalHeaders(response, answer, answer.reason, request.guestDeadline - performance.now())
     await deliverAnswer(answer, response)
   }
 
-  #setRefusalHeaders (response: ServerResponse, status: number, reason: RefusalReason, remainingMilliseconds: number): void {
+  #setRefusalHeaders (response: ServerResponse, { status, retryAfterMilliseconds }: Pick<RelayAnswer, 'status' | 'retryAfterMilliseconds'>, reason: RefusalReason, remainingMilliseconds: number): void {
     response.setHeader('hibiscusrelay-reason', reason)
-    if (status === STATUS_UNAVAILABLE) response.setHeader('retry-after', String(chooseRetryAfter(reason, Math.max(0, remainingMilliseconds), this.#options.random())))
+    if (status === STATUS_UNAVAILABLE) response.setHeader('retry-after', String(chooseRetryAfter(reason, Math.max(0, remainingMilliseconds), this.#options.random(), retryAfterMilliseconds)))
   }
 
   async #refuse (message: IncomingMessage, response: ServerResponse, reason: RefusalReason): Promise<void> {
@@ -133,7 +132,7 @@
     log.warn('request-refused', { step: Step.Ingress, request: fields?.id, reason, host: message.headers.host, path: message.url, plan: known.plan?.version })
     const answer = refuse(reason)
     if (!message.complete) response.setHeader('connection', 'close')
-    this.#setRefusalHeaders(response, getRefusalStatus(reason), reason, fields?.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS)
+    this.#setRefusalHeaders(response, answer, reason, fields?.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS)
     const body = answer.body as Buffer
     response.writeHead(answer.status, { 'content-type': 'application/json', 'content-length': body.length })
     await endAfterRequest(message, response, body)
--- a/src/entry/ServiceAdmission.ts
+++ b/src/entry/ServiceAdmission.ts
@@ -58,7 +58,7 @@
   #computeLimit (service: string, demandMeter: DemandMeter): number {
     const now = performance.now()
     const slots = this.#known.listReady(service)
-      .filter(({ record, coldUntil }) => coldUntil <= now && !this.#known.isEvacuated(record.domain) && !this.#loads.isLost(record.id))
+      .filter(({ record, coldUntil }) => coldUntil <= now && !this.#known.isEvacuated(record.domain) && !this.#loads.isLost(record.id) && this.#loads.findFirstReturn([record], now) === undefined)
       .reduce((sum, { record }) => sum + record.slots, 0)
     return computeSlotShare({ slots, localDemand: demandMeter.readPerSecond(), totalDemand: this.#known.demandOf(service), entryHosts: this.#known.countedEntryHosts })
   }
--- a/src/entry/UpstreamProtocol.ts
+++ b/src/entry/UpstreamProtocol.ts
@@ -2,6 +2,7 @@
 import type { AnswerHead, ExchangeAnswer } from '../relay/exchange.js'
 import type { HeaderField } from '../relay/RelayedRequest.js'
 import type { EntryRequest } from './EntryRequest.js'
+import type { UpstreamNotice } from './UpstreamNotice.js'
 
 /** Meaning of an answer that arrives from an upstream. */
 export enum AnswerKind {
@@ -28,4 +29,6 @@
   classifyAnswer (request: EntryRequest, head: AnswerHead): AnswerKind
   /** @returns the load that the upstream reported with the answer, undefined if it reported none */
   readLoad (answer: ExchangeAnswer): LoadReport | undefined
+  /** @returns what the upstream says of itself in the head of an answer */
+  readNotice (head: AnswerHead): UpstreamNotice
 }
--- a/src/entry/UpstreamSender.ts
+++ b/src/entry/UpstreamSender.ts
@@ -4,11 +4,12 @@
 import type { StopWindow } from '../limits/StopWindow.js'
 import type { Log } from '../observe/Log.js'
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
-import { exchange, type AnswerLimits, type ExchangeAnswer } from '../relay/exchange.js'
+import { exchange, type AnswerHead, type AnswerLimits, type ExchangeAnswer } from '../relay/exchange.js'
 import { Step } from '../types/Step.js'
 import type { CrashDetector } from './CrashDetector.js'
 import type { EntryRequest } from './EntryRequest.js'
 import type { UpstreamConnections } from './UpstreamConnections.js'
+import type { UpstreamNotices } from './UpstreamNotices.js'
 import type { UpstreamLoads } from './UpstreamLoads.js'
 import { AnswerKind, type UpstreamProtocol } from './UpstreamProtocol.js'
 import type { UpstreamRun, UpstreamRuns } from './UpstreamRuns.js'
@@ -24,6 +25,7 @@
   detector: CrashDetector
   /** Called after a request was excused in the crash table. */
   onExcuse: () => void
+  notices: Pick<UpstreamNotices, 'record'>
   stopWindow: Pick<StopWindow, 'admits'>
   log: Log
 }
@@ -105,13 +107,21 @@
       // A faulty upstream may write an answer or a refusal again on a connection that is kept. Whatever follows there would be
       // taken for the answer to the next request, so that each later answer on it would go to the wrong request.
       isHeadSufficient: (head) => protocol.classifyAnswer(request, head) !== AnswerKind.Own,
+      onHead: (head) => { this.#recordNotice(request, record, head) },
       mayWrite: () => stopWindow.admits(request.deadline) && this.#canStillUse(record)
     })
   }
 
-  /** Checks again before the request is written: the upstream may have begun to leave while the connection opened. */
-  #canStillUse ({ id, service, domain }: UpstreamRecord): boolean {
-    const { known } = this.#options
+  /** Another upstream at the address speaks of itself, so its notice does not concern this one. */
+  #recordNotice (request: EntryRequest, record: UpstreamRecord, head: AnswerHead): void {
+    const { protocol, notices } = this.#options
+    if (protocol.classifyAnswer(request, head) !== AnswerKind.OtherUpstream) notices.record(record, protocol.readNotice(head), request.id)
+  }
+
+  /** Checks again before the request is written: the upstream may have begun to leave, or asked for a pause, while the connection opened. */
+  #canStillUse ({ id, bornAt, service, domain }: UpstreamRecord): boolean {
+    const { known, loads } = this.#options
+    if (loads.get(id).getReturnTime(bornAt, performance.now()) !== undefined) return false
     return !known.isEvacuated(domain) && known.listReady(service).some(({ record }) => record.id === id)
   }
 
--- a/src/entry/listCandidates.ts
+++ b/src/entry/listCandidates.ts
@@ -31,14 +31,15 @@
 
 /**
  * Lists the upstreams that a request may be sent to, in the order of its object. Upstreams that failed recently or are
- * lost are listed only when there are no others.
+ * lost are listed only when there are no others; those that asked for a pause never.
  */
 export function listCandidates (known: KnownState, loads: UpstreamLoads, query: CandidateQuery): PlacementCandidate[] {
   const now = performance.now()
   const { homeRegions, excludedUpstreams, regionOf, canUseCold } = query
   const keyHash = hashKey(query.placementKey)
+  const { hasPauses } = loads
   const allowed = known.listReady(query.service).filter(({ record }) => {
-    if (excludedUpstreams.has(record.id) || known.isEvacuated(record.domain)) return false
+    if (excludedUpstreams.has(record.id) || known.isEvacuated(record.domain) || (hasPauses && !loads.admits(record, now))) return false
     return homeRegions.length === 0 || homeRegions.includes(regionOf(record.domain) ?? '')
   })
   const isUsable = (id: string): boolean => (!loads.isLost(id) || canProbe(loads.get(id))) && !loads.get(id).isAvoided(now)
--- a/src/follow/KnownState.ts
+++ b/src/follow/KnownState.ts
@@ -3,7 +3,7 @@
 import type { PlanService, RoutingPlan } from '../plan/RoutingPlan.js'
 import { UpstreamTable } from '../registry/UpstreamTable.js'
 import type { UpstreamEntry } from '../registry/UpstreamEntry.js'
-import { isGone, UpstreamReadiness } from '../registry/UpstreamRecord.js'
+import { getIncarnation, isGone, UpstreamReadiness, type UpstreamRecord } from '../registry/UpstreamRecord.js'
 import type { FollowReply } from './FollowMessages.js'
 import { PeakDemand } from './PeakDemand.js'
 import { SmoothedDemand } from './SmoothedDemand.js'
@@ -24,6 +24,8 @@
   /** Feed of the control host that replied last. */
   #followedFeed = ''
   #readyByService: Map<string, UpstreamEntry[]> | undefined
+  /** Starts of upstreams that said in an answer that they leave. */
+  readonly #leavingIncarnations = new Set<string>()
   #maximumEntryHosts = 0
   readonly #peakDemand = new PeakDemand()
   readonly #smoothedDemand = new SmoothedDemand()
@@ -114,10 +116,34 @@
     this.#readyByService = undefined
   }
 
+  /**
+   * Marks a start of an upstream as leaving, by its own word. No announcement of that start takes the mark back.
+   *
+   * @returns whether it was not marked before
+   */
+  markLeaving (record: UpstreamRecord): boolean {
+    const incarnation = getIncarnation(record)
+    if (this.#leavingIncarnations.has(incarnation)) return false
+    this.#leavingIncarnations.add(incarnation)
+    this.#readyByService = undefined
+    return true
+  }
+
+  /** @returns whether a start of an upstream said that it leaves */
+  isLeaving (record: UpstreamRecord): boolean {
+    return this.#leavingIncarnations.size > 0 && this.#leavingIncarnations.has(getIncarnation(record))
+  }
+
+  /** Forgets the marks of upstreams that are gone or were started again since. */
+  pruneLeaving (): void {
+    const current = new Set(this.upstreams.list().filter(({ record }) => !isGone(record)).map(({ record }) => getIncarnation(record)))
+    for (const incarnation of this.#leavingIncarnations) if (!current.has(incarnation)) this.#leavingIncarnations.delete(incarnation)
+  }
+
   #groupReadyByService (): Map<string, UpstreamEntry[]> {
     const groups = new Map<string, UpstreamEntry[]>()
     for (const entry of this.upstreams.list()) {
-      if (entry.record.readiness !== UpstreamReadiness.Ready || isGone(entry.record)) continue
+      if (entry.record.readiness !== UpstreamReadiness.Ready || this.isLeaving(entry.record)) continue
       const group = groups.get(entry.record.service)
       if (group === undefined) groups.set(entry.record.service, [entry])
       else group.push(entry)
--- a/src/placement/ColdShare.ts
+++ b/src/placement/ColdShare.ts
@@ -1,5 +1,4 @@
-import { hashKey, computeScore } from '../steering/RendezvousItems.js'
-import { hashText } from '../utils/hashText.js'
+import { computeHostFraction } from './computeHostFraction.js'
 
 /** Mean number of entry hosts that may send to one cold upstream, however many hosts there are. */
 const MEAN_SENDERS = 5
@@ -44,6 +43,5 @@
 }
 
 function isSender ({ upstream, host, entryHosts }: ColdShareQuery): boolean {
-  const hashFraction = computeScore(hashKey(upstream), hashText(host)) / 2 ** 32
-  return hashFraction * Math.max(MEAN_SENDERS, entryHosts) < MEAN_SENDERS
+  return computeHostFraction(upstream, host) * Math.max(MEAN_SENDERS, entryHosts) < MEAN_SENDERS
 }
--- a/src/placement/UpstreamLoad.ts
+++ b/src/placement/UpstreamLoad.ts
@@ -1,4 +1,5 @@
 import type { LoadReport } from './LoadReport.js'
+import type { UpstreamPause } from './UpstreamPause.js'
 
 /** Older reports are ignored: a warm run takes about 200 to 300 ms, so the load has changed since. */
 const MAXIMUM_REPORT_AGE_MILLISECONDS = 1_500
@@ -19,6 +20,7 @@
   #avoidedUntil = Number.NEGATIVE_INFINITY
   #consecutiveFailures = 0
   #lastAnsweredAt = Number.NEGATIVE_INFINITY
+  #pause: UpstreamPause | undefined
 
   /** Records that a request is sent. */
   start (): void {
@@ -49,6 +51,33 @@
   recordSuccess (now: number): void {
     this.#consecutiveFailures = 0
     this.#lastAnsweredAt = now
+    this.#pause?.recordSuccess(now)
+  }
+
+  /**
+   * Begins a pause that the upstream asked for; of several the longest holds.
+   *
+   * @returns whether it lasts longer than the present one
+   */
+  pause (pause: UpstreamPause): boolean {
+    if (this.#pause !== undefined && this.#pause.bornAt >= pause.bornAt && this.#pause.returnsAt >= pause.returnsAt) return false
+    this.#pause = pause
+    return true
+  }
+
+  /** @returns whether the start of the upstream with this time of birth takes a further request of this host, as far as it asked for a pause */
+  admits (bornAt: number, now: number): boolean {
+    return this.#pause === undefined || this.#pause.bornAt !== bornAt || this.#pause.admits(this.inFlight, now)
+  }
+
+  /** @returns whether it has no pause, or one whose return is over as well */
+  isPauseOver (now: number): boolean {
+    return this.#pause === undefined || this.#pause.isOver(now)
+  }
+
+  /** @returns monotonic time at which its pause ends for this host, undefined when it has not asked for one or it has ended */
+  getReturnTime (bornAt: number, now: number): number | undefined {
+    return this.#pause === undefined || this.#pause.bornAt !== bornAt || now >= this.#pause.returnsAt ? undefined : this.#pause.returnsAt
   }
 
   /**
--- a/src/placement/chooseRetryAfter.ts
+++ b/src/placement/chooseRetryAfter.ts
@@ -20,9 +20,10 @@
  * @param reason - why the guest was refused
  * @param remainingMilliseconds - time until the guest's deadline
  * @param randomValue - random number from 0 up to but not including 1
+ * @param returnMilliseconds - time until the first upstream that asked for a pause takes requests again, 0 if none is awaited
  * @returns the wait in seconds
  */
-export function chooseRetryAfter (reason: RefusalReason, remainingMilliseconds: number, randomValue: number): number {
-  const delay = PROMPT_REASONS.has(reason) ? PROMPT_DELAY_MILLISECONDS + randomValue * PROMPT_JITTER_MILLISECONDS : BASE_DELAY_MILLISECONDS + randomValue * JITTER_MILLISECONDS
+export function chooseRetryAfter (reason: RefusalReason, remainingMilliseconds: number, randomValue: number, returnMilliseconds = 0): number {
+  const delay = PROMPT_REASONS.has(reason) ? PROMPT_DELAY_MILLISECONDS + randomValue * PROMPT_JITTER_MILLISECONDS : Math.max(BASE_DELAY_MILLISECONDS, returnMilliseconds) + randomValue * JITTER_MILLISECONDS
   return Math.round(Math.min(delay, remainingMilliseconds / 3)) / 1000
 }
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -78,7 +78,9 @@
     this.#status = status
     this.#headers = listHeaders(headers)
     this.#endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && !hasNoBody(this.#request.method, status)
-    if (this.#request.isHeadSufficient?.({ status, headers: this.#headers }) === true) this.#endAtHead(controller)
+    const head = { status, headers: this.#headers }
+    this.#request.onHead?.(head)
+    if (this.#request.isHeadSufficient?.(head) === true) this.#endAtHead(controller)
   }
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/src/relay/Owner.ts
+++ b/src/relay/Owner.ts
@@ -7,6 +7,7 @@
 import { RetryReason } from '../types/RetryReason.js'
 import { Step } from '../types/Step.js'
 import { createUpstreamRequest } from './createUpstreamRequest.js'
+import { parseRetryAfter } from './parseRetryAfter.js'
 import { exchange, type AnswerLimits, type ExchangeAnswer } from './exchange.js'
 import { answerFailedExchange } from './answerFailedExchange.js'
 import { findEchoedRequest, isAnswerOfAnother } from './isAnswerOfAnother.js'
@@ -147,7 +148,7 @@
 
   #interpret (answer: ExchangeAnswer, upstream: Upstream, request: RelayedRequest, runMilliseconds: number): RelayAnswer {
     if (isShed(answer)) {
-      upstream.avoid(AVOID_SHEDDING_MILLISECONDS)
+      upstream.avoid(Math.max(AVOID_SHEDDING_MILLISECONDS, findPause(answer)))
       return refuse(RefusalReason.Shed)
     }
     if (isAnswerOfAnother(request, upstream, answer)) {
@@ -176,3 +177,8 @@
     return answerFailedExchange(error)
   }
 }
+
+/** @returns the longest pause that an upstream asked for with its refusal, in milliseconds; 0 when it asked for none that is readable */
+function findPause ({ headers }: ExchangeAnswer): number {
+  return Math.max(0, ...headers.filter(({ name }) => name === 'retry-after').map(({ value }) => parseRetryAfter(value) ?? 0))
+}
--- a/src/relay/RelayAnswer.ts
+++ b/src/relay/RelayAnswer.ts
@@ -15,6 +15,8 @@
   body: Buffer | Readable
   /** Whether the end of the upstream's connection delimits the body; the guest must receive it delimited the same way. */
   endsWithConnection?: boolean
+  /** Time after which the guest should come back, in milliseconds; undefined when nothing is known of it. */
+  retryAfterMilliseconds?: number
   /** Whether a retry was already taken from the budget, because the request was abandoned at an owner that seemed lost. */
   retryTaken?: boolean
   /** Run time on the upstream, absent when none ran it; known only at the owner. */
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -32,6 +32,8 @@
   closeConnection: boolean
   /** Whether the head of an answer is all that is needed of it. Its connection is closed then; by default never. */
   isHeadSufficient?: (head: AnswerHead) => boolean
+  /** Called with the head of each answer that arrives, whatever becomes of it. */
+  onHead?: (head: AnswerHead) => void
   /** Called right before the first byte is written; false prevents it. */
   mayWrite: () => boolean
 }
--- a/src/types/RefusalReason.ts
+++ b/src/types/RefusalReason.ts
@@ -17,6 +17,8 @@
   NoUpstream = 'no-upstream',
   /** All upstreams that could run the request soon are full. */
   UpstreamsFull = 'upstreams-full',
+  /** All upstreams that could run the request asked for a pause. */
+  UpstreamsPaused = 'upstreams-paused',
   NoHost = 'no-host',
   QueueFull = 'queue-full',
   DeadlineTooShort = 'deadline-too-short',
