Blame no request for an upstream that it only tried to reach

Cause: a run is noted before its connection is open, and every noted run was blamed for the end of its upstream, so a request that found three dead listeners counted as one that had ended three upstreams.

Change: only runs whose first byte was written are blamed.

--- a/__tests__/entry/CrashDetector.test.ts
+++ b/__tests__/entry/CrashDetector.test.ts
@@ -4,7 +4,7 @@
 import { CrashDetector } from '../../src/entry/CrashDetector.js'
 import { UpstreamRuns } from '../../src/entry/UpstreamRuns.js'
 import { KnownState } from '../../src/follow/KnownState.js'
-import { UpstreamReadiness, type UpstreamRecord } from '../../src/registry/UpstreamRecord.js'
+import { getIncarnation, UpstreamReadiness, type UpstreamRecord } from '../../src/registry/UpstreamRecord.js'
 import { ListenerState } from '../../src/utils/probeListener.js'
 import { createFollowReply } from '../follow/createFollowReply.js'
 import { createUpstreamRecord } from '../registry/createUpstreamRecord.js'
@@ -30,6 +30,16 @@
   assert.equal(crashes.countLosses('f'), 1)
 })
 
+// Guards against requests that are refused as crashing ones because they tried to connect to upstreams that had ended.
+test('a request that only tries to connect is not blamed for the end of the upstream', async () => {
+  const { detector, crashes, runs, record } = createDetector(ListenerState.Unreachable)
+  const run = runs.begin('connecting', record, false)
+  await detector.checkUpstream(record)
+  assert.equal(crashes.countLosses('connecting'), 0)
+  run.isWritten = true
+  assert.deepEqual([...runs.listFingerprints(getIncarnation(record))], ['f', 'connecting'])
+})
+
 test('an upstream that is closing its sockets one after another has ended', async () => {
   const { detector, crashes, record } = createDetector(ListenerState.ClosedEarly, ListenerState.ClosedEarly, ListenerState.Unreachable)
   await detector.checkUpstream(record)
--- a/__tests__/entry/createRelayFixture.ts
+++ b/__tests__/entry/createRelayFixture.ts
@@ -1,4 +1,5 @@
 import { upstreamProtocol } from '../../platform/wire/upstreamProtocol.js'
+import type { CrashDetectorOptions } from '../../src/entry/CrashDetector.js'
 import { EntryRelay, type EntryRelayOptions } from '../../src/entry/EntryRelay.js'
 import { ServiceAdmission } from '../../src/entry/ServiceAdmission.js'
 import { UpstreamConnections } from '../../src/entry/UpstreamConnections.js'
@@ -30,16 +31,17 @@
  * @param routeOverrides - fields of its only route that differ from the default
  * @param options - options of the relay that differ from the default
  * @param connections - connections to the upstreams
+ * @param probe - replaces the connection that shows whether an upstream has ended
  * @returns a relay that knows a plan and upstreams
  */
-export function createRelayFixture (addresses: string[], routeOverrides: Partial<PlanRoute> = {}, options: Partial<EntryRelayOptions> = {}, connections: UpstreamConnectionPools = new UpstreamConnections()): RelayFixture {
+export function createRelayFixture (addresses: string[], routeOverrides: Partial<PlanRoute> = {}, options: Partial<EntryRelayOptions> = {}, connections: UpstreamConnectionPools = new UpstreamConnections(), probe?: CrashDetectorOptions['probe']): RelayFixture {
   const known = new KnownState()
   const upstreams = addresses.map((address, number) => ({ record: createUpstreamRecord({ id: `i-${number}`, address }), isLost: false }))
   known.merge(createFollowReply({ plan: createPlan(1, [createRoute(routeOverrides)]), upstreams, isComplete: true, entryHosts: 1 }))
   // KnownState reports an infinite number of entry hosts at first; a fixed number of 1 gives this host the full share of the retries.
   Object.defineProperty(known, 'entryHosts', { value: 1 })
   const loads = new UpstreamLoads(known)
-  const parts = createSender({ known, loads, connections, protocol: upstreamProtocol, answerBufferBytes: 1024 })
+  const parts = createSender({ known, loads, connections, protocol: upstreamProtocol, answerBufferBytes: 1024, probe })
   const relay = new EntryRelay({
     hostName: 'entry-1',
     region: 'asturias',
--- a/src/entry/UpstreamRuns.ts
+++ b/src/entry/UpstreamRuns.ts
@@ -12,6 +12,8 @@
   readonly fingerprint: string
   readonly record: UpstreamRecord
   readonly startedAt: number
+  /** Whether its first byte was written, so that the upstream may have begun to run it. */
+  isWritten: boolean
   /** Whether this host still waits for the answer. */
   isInFlight: boolean
 }
@@ -22,9 +24,15 @@
   readonly #runsByFingerprint = new Map<string, Set<UpstreamRun>>()
   readonly #provenUntil = new RecentMap<number>(MINIMUM_PROVEN_FINGERPRINTS)
 
-  /** Records that a request is sent to an upstream. */
-  begin (fingerprint: string, record: UpstreamRecord): UpstreamRun {
-    const run: UpstreamRun = { fingerprint, record, startedAt: performance.now(), isInFlight: true }
+  /**
+   * Records that a request is sent to an upstream.
+   *
+   * @param fingerprint - digest of the request
+   * @param record - the upstream
+   * @param isWritten - whether its first byte was written already; otherwise the caller sets it on the run
+   */
+  begin (fingerprint: string, record: UpstreamRecord, isWritten = true): UpstreamRun {
+    const run: UpstreamRun = { fingerprint, record, startedAt: performance.now(), isWritten, isInFlight: true }
     this.#runs.add(run)
     const copies = this.#runsByFingerprint.get(fingerprint)
     if (copies === undefined) this.#runsByFingerprint.set(fingerprint, new Set([run]))
@@ -69,6 +77,6 @@
 
   /** @returns fingerprints of the requests that an upstream process may be running */
   listFingerprints (incarnation: string): Set<string> {
-    return new Set(this.list().filter(({ record }) => getIncarnation(record) === incarnation).map(({ fingerprint }) => fingerprint))
+    return new Set(this.list().filter(({ record, isWritten }) => isWritten && getIncarnation(record) === incarnation).map(({ fingerprint }) => fingerprint))
   }
 }
--- a/src/entry/UpstreamSender.ts
+++ b/src/entry/UpstreamSender.ts
@@ -65,10 +65,10 @@
     const { loads, runs, protocol } = this.#options
     const { request, record } = attempt
     const load = loads.get(record.id)
-    const run = runs.begin(attempt.fingerprint, record)
+    const run = runs.begin(attempt.fingerprint, record, false)
     load.start()
     try {
-      const answer = await this.#exchange(request, record)
+      const answer = await this.#exchange(request, record, () => { run.isWritten = true })
       const kind = protocol.classifyAnswer(request, answer)
       this.#settleAfter(answer.finished.then(async (failure) => {
         load.end()
@@ -91,7 +91,7 @@
       .finally(onSettled)
   }
 
-  #exchange (request: EntryRequest, record: UpstreamRecord): Promise<ExchangeAnswer> {
+  #exchange (request: EntryRequest, record: UpstreamRecord, onWrite: () => void): Promise<ExchangeAnswer> {
     const { connections, protocol, answerBufferBytes, answerBudget, stopWindow } = this.#options
     return exchange(connections.to(record), {
       peer: record.address,
@@ -108,7 +108,8 @@
       // taken for the answer to the next request, so that each later answer on it would go to the wrong request.
       isHeadSufficient: (head) => protocol.classifyAnswer(request, head) !== AnswerKind.Own,
       onHead: (head) => { this.#recordNotice(request, record, head) },
-      mayWrite: () => stopWindow.admits(request.deadline) && this.#canStillUse(record)
+      mayWrite: () => stopWindow.admits(request.deadline) && this.#canStillUse(record),
+      onWrite
     })
   }
 
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -72,6 +72,7 @@
       throw new Error(this.#failure)
     }
     this.#isWritten = true
+    this.#request.onWrite?.()
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -36,6 +36,8 @@
   onHead?: (head: AnswerHead) => void
   /** Called right before the first byte is written; false prevents it. */
   mayWrite: () => boolean
+  /** Called when the request is about to be written; from then on it may run. */
+  onWrite?: () => void
 }
 
 /** Status and headers of an answer. */
