Bound the memory that the large bodies of all requests hold

Cause: each body was held as a whole, for a moment twice, and nothing bounded the sum over all requests.

Change: bodies of more than 64 KB take their size from a bound for the host until their request has ended; without room they are refused at once, unread, as not run. Small bodies take nothing of it. A body of known length is read into one buffer. AnswerBudget uses the same counter, HeldAmount, in place of its own.

--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -5,6 +5,7 @@
 import type { CrashReport } from '../crashes/CrashReport.js'
 import { ControlFollower } from '../follow/ControlFollower.js'
 import { KnownState } from '../follow/KnownState.js'
+import { HeldAmount } from '../limits/HeldAmount.js'
 import { StopWindow } from '../limits/StopWindow.js'
 import { AnswerBudget } from '../relay/AnswerBudget.js'
 import type { Counters } from '../observe/Counters.js'
@@ -35,6 +36,8 @@
 const MAXIMUM_BUFFERED_ANSWER_BYTES = 262_144
 /** Bound on the buffered bytes of all answers together: a sixth of the memory of the smallest hosts. */
 const MAXIMUM_BUFFERED_BYTES = 33_554_432
+/** Bound on the large bodies of all requests together: the largest body that plans allow. */
+const MAXIMUM_BODY_BYTES = 67_108_864
 /** Bound on the answers that are passed on while they arrive; each takes up to 1 MB in buffers of two connections. */
 const MAXIMUM_STREAMED_ANSWERS = 96
 const PRUNE_INTERVAL_MILLISECONDS = 5_000
@@ -97,7 +100,7 @@
     this.#follower = this.#createFollower()
     this.#crashSharer = this.#createCrashSharer()
     this.#crashDetector = new CrashDetector({ runs: this.#runs, crashes: this.#crashes, known: this.#known, onChange: () => { this.#crashSharer.share() }, log: options.log })
-    const guestListener = new GuestListener({ ...options, known: this.#known, relay: this.#createRelay(), stopWindow: this.#stopWindow })
+    const guestListener = new GuestListener({ ...options, known: this.#known, relay: this.#createRelay(), stopWindow: this.#stopWindow, bodyBytes: new HeldAmount(MAXIMUM_BODY_BYTES) })
     this.#listener = new HttpListener({
       address: options.settings().guestAddress,
       headerBytes: MAXIMUM_HEADER_BYTES,
--- a/src/entry/GuestListener.ts
+++ b/src/entry/GuestListener.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { KnownState } from '../follow/KnownState.js'
+import type { HeldAmount } from '../limits/HeldAmount.js'
 import type { StopWindow } from '../limits/StopWindow.js'
 import type { Counters } from '../observe/Counters.js'
 import { refusalCounter } from '../observe/declareCounters.js'
@@ -12,6 +13,7 @@
 import { countHeadBytes } from '../guest/countHeadBytes.js'
 import { listEndToEndHeaders } from '../guest/listEndToEndHeaders.js'
 import { readBodyUntil } from '../transport/readBodyUntil.js'
+import { BodyMemory } from '../transport/BodyMemory.js'
 import { endAfterRequest } from '../transport/endAfterRequest.js'
 import { hasCallerDisconnected } from '../transport/hasCallerDisconnected.js'
 import { RefusalReason } from '../types/RefusalReason.js'
@@ -35,6 +37,8 @@
   known: KnownState
   relay: EntryRelay
   stopWindow: StopWindow
+  /** Bytes that the large bodies of all requests hold together. */
+  bodyBytes: HeldAmount
   /** Reads the fields of a request; returns undefined when they are malformed. */
   readFields: (message: IncomingMessage) => GuestFields | undefined
   random: () => number
@@ -65,7 +69,9 @@
   async #serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
     const cancellation = new AbortController()
     response.once('close', () => { if (!response.writableFinished) cancellation.abort() })
-    const request = await this.#readRequest(message, cancellation.signal)
+    const memory = new BodyMemory(this.#options.bodyBytes)
+    response.once('close', () => { memory.release() })
+    const request = await this.#readRequest(message, cancellation.signal, memory)
     if (typeof request === 'string') return await this.#refuse(message, response, request)
     if (await hasCallerDisconnected(message)) return this.#discardRequest(response, request)
     const answer = await this.#options.relay.serve(request)
@@ -81,7 +87,7 @@
     response.destroy()
   }
 
-  async #readRequest (message: IncomingMessage, cancelled: AbortSignal): Promise<EntryRequest | RefusalReason> {
+  async #readRequest (message: IncomingMessage, cancelled: AbortSignal, memory: BodyMemory): Promise<EntryRequest | RefusalReason> {
     const { known, readFields, stopWindow } = this.#options
     const arrivedAt = performance.now()
     const { plan, routes } = known
@@ -94,7 +100,7 @@
     if (fields === undefined) return RefusalReason.BadRequest
     const guestDeadline = arrivedAt + (fields.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS)
     const deadline = Math.min(guestDeadline, arrivedAt + route.timeoutMilliseconds)
-    const body = await readBodyUntil(message, plan.limits.bodyBytes, deadline, stopWindow)
+    const body = await readBodyUntil(message, plan.limits.bodyBytes, deadline, stopWindow, memory)
     if (!Buffer.isBuffer(body)) return body
     return {
       id: fields.id,
--- a/src/guest/GuestInterface.ts
+++ b/src/guest/GuestInterface.ts
@@ -13,6 +13,8 @@
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
 import type { LimitSettings, TimingSettings } from '../settings/Settings.js'
 import { readBody } from '../transport/readBody.js'
+import { HeldAmount } from '../limits/HeldAmount.js'
+import { BodyMemory } from '../transport/BodyMemory.js'
 import { endAfterRequest } from '../transport/endAfterRequest.js'
 import { hasCallerDisconnected } from '../transport/hasCallerDisconnected.js'
 import { Outcome } from '../types/Outcome.js'
@@ -26,6 +28,8 @@
 const ANNOUNCEMENTS_PATH = '/v1/announcements'
 const MAXIMUM_ANNOUNCEMENT_BYTES = 16_384
 const RETRY_AFTER_SECONDS = '1'
+/** Bound on the large bodies of all requests together. */
+const MAXIMUM_BODY_BYTES = 134_217_728
 
 /** Dependencies of the guest interface. */
 export interface GuestInterfaceOptions {
@@ -44,11 +48,12 @@
 }
 
 /** Refusals of requests whose body has not been read completely; their connection is closed. */
-const UNREAD_BODY_REASONS = new Set([RefusalReason.BodyTooLarge, RefusalReason.BodyTimedOut, RefusalReason.Stopping])
+const UNREAD_BODY_REASONS = new Set([RefusalReason.BodyTooLarge, RefusalReason.BodyTimedOut, RefusalReason.BodyMemory, RefusalReason.Stopping])
 
 /** HTTP interface of an entry host for guests and upstreams. */
 export class GuestInterface {
   readonly #options: GuestInterfaceOptions
+  readonly #bodyBytes = new HeldAmount(MAXIMUM_BODY_BYTES)
 
   /** @param options - relay, announcements, lookup, limits, metrics and log */
   constructor (options: GuestInterfaceOptions) {
@@ -115,7 +120,9 @@
     response.once('close', () => { if (!response.writableEnded) cancellation.abort() })
     const { limits, timings, stopWindow } = this.#options
     const sheet = this.#options.currentSheet()
-    const request = await readGuestRequest(message, { sheet, limits, timings, stopWindow, cancelled: cancellation.signal })
+    const memory = new BodyMemory(this.#bodyBytes)
+    response.once('close', () => { memory.release() })
+    const request = await readGuestRequest(message, { sheet, limits, timings, stopWindow, memory, cancelled: cancellation.signal })
     if (typeof request === 'string') return await this.#refuse(message, response, request)
     if (await hasCallerDisconnected(message)) return this.#discardRequest(response, request.id)
     const guestPlace = sheet?.guestBlocks.findPlace(message.socket.remoteAddress ?? '')
--- a/src/guest/readGuestRequest.ts
+++ b/src/guest/readGuestRequest.ts
@@ -4,6 +4,7 @@
 import { fingerprintRequest } from '../relay/fingerprintRequest.js'
 import type { RelayedRequest } from '../relay/RelayedRequest.js'
 import type { LimitSettings, TimingSettings } from '../settings/Settings.js'
+import type { BodyMemory } from '../transport/BodyMemory.js'
 import { readBodyUntil } from '../transport/readBodyUntil.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { RequestClass } from '../types/RequestClass.js'
@@ -26,6 +27,7 @@
   limits: LimitSettings
   timings: TimingSettings
   stopWindow: StopWindow
+  memory: BodyMemory
   cancelled: AbortSignal
 }
 
@@ -50,7 +52,7 @@
   const key = message.headers['idempotency-key']
   if (Array.isArray(key) || (key?.length ?? 0) > MAXIMUM_KEY_CHARACTERS) return RefusalReason.BadRequest
   const deadline = startedAt + deadlineMilliseconds - Math.min(MAXIMUM_ANSWER_TRANSIT_MILLISECONDS, deadlineMilliseconds * ANSWER_TRANSIT_FRACTION)
-  const body = await readBodyUntil(message, context.limits.requestBodyBytes, deadline, context.stopWindow)
+  const body = await readBodyUntil(message, context.limits.requestBodyBytes, deadline, context.stopWindow, context.memory)
   if (!Buffer.isBuffer(body)) return body
   const requestClass = IDEMPOTENT_METHODS.has(method) ? RequestClass.Idempotent : serviceEntry.requestClass
   return {
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -121,7 +121,7 @@
 
   #beginStream (controller: Dispatcher.DispatchController): void {
     const { answerBudget } = this.#request
-    if (answerBudget?.tryBeginStream() === false) return this.#abort(ExchangeFailure.Broken, errorTexts.tooManyLargeAnswers())
+    if (answerBudget?.streams.tryTake(1) === false) return this.#abort(ExchangeFailure.Broken, errorTexts.tooManyLargeAnswers())
     const stream = new PassThrough({ highWaterMark: STREAM_BUFFER_BYTES })
     stream.on('drain', () => {
       this.#releaseReserved()
@@ -129,7 +129,7 @@
     })
     stream.once('close', () => {
       this.#releaseReserved()
-      answerBudget?.endStream()
+      answerBudget?.streams.release(1)
       if (!this.#hasEnded) this.#abort(ExchangeFailure.Cancelled)
     })
     stream.on('error', () => {})
@@ -146,13 +146,13 @@
   #tryReserve (bytes: number): boolean {
     const { answerBudget } = this.#request
     if (answerBudget === undefined) return true
-    if (!answerBudget.tryTakeBytes(bytes)) return false
+    if (!answerBudget.bytes.tryTake(bytes)) return false
     this.#reservedBytes += bytes
     return true
   }
 
   #releaseReserved (): void {
-    this.#request.answerBudget?.releaseBytes(this.#reservedBytes)
+    this.#request.answerBudget?.bytes.release(this.#reservedBytes)
     this.#reservedBytes = 0
   }
 
--- a/src/types/RefusalReason.ts
+++ b/src/types/RefusalReason.ts
@@ -10,6 +10,8 @@
   BodyTooLarge = 'body-too-large',
   /** The body had not arrived completely when the answer was due. */
   BodyTimedOut = 'body-late',
+  /** The large bodies of other requests hold the memory that there is for them. */
+  BodyMemory = 'body-memory',
   HeadersTooLarge = 'headers-too-large',
   Unauthorized = 'unauthorized',
   NoSheet = 'no-sheet',
