Give up a replica's identity only on a committed removal

Cause: a replica that hears no leader asks its peers for their newest membership, committed or not. A leader that has just lost its majority may propose a removal that is dropped later; the replica would have emptied its disk for nothing, and one loss more is then borne than was planned for.

Evidence: ReplicaGroupManager.test.ts, red before: it begins anew on a removal that its peer calls uncommitted.

Change: a replica tells in its status whether its newest membership is committed. Replicas of earlier versions do not tell it and are believed as before.

--- a/__tests__/control/ReplicaGroupManager.test.ts
+++ b/__tests__/control/ReplicaGroupManager.test.ts
@@ -3,7 +3,9 @@
 import { listVoters } from '../../src/agreement/ReplicaConfiguration.js'
 import { ReplicaRole } from '../../src/agreement/ReplicaRole.js'
 import { ReplicaGroupManager } from '../../src/control/ReplicaGroupManager.js'
+import type { ReplicaStatus } from '../../src/agreement/ReplicaStatus.js'
 import { SheetCluster, type ClusterHost } from '../agreement/support/SheetCluster.js'
+import { advance, pauseClock } from '../support/pauseClock.js'
 
 const silentLog = { info: () => {}, warn: () => {}, error: () => {} }
 const HOST_COUNT = 6
@@ -197,3 +199,30 @@
   await cluster.advanceUntil(() => managed.retired.includes(added.address), 'the replica begins anew')
   managed.stop()
 })
+
+// Guards against a voter that gives up its disk because of a removal that a leader without a majority proposed in vain.
+test('a replica begins anew on a removal that is committed, and on no other one', async (context) => {
+  pauseClock(context)
+  const base = { address: 'a', group: 'g', term: 1, hasQuorum: false, hearsLeader: false, isCurrent: false, last: { index: 1, term: 1 }, commitIndex: 1, appliedIndex: 1, configuration: { members: [], retired: [] } }
+  const local: ReplicaStatus = { ...base, identity: 'cut-off', role: ReplicaRole.Follower }
+  const peer: ReplicaStatus = { ...base, identity: 'leader', role: ReplicaRole.Leader, configuration: { members: [], retired: ['cut-off'] }, isConfigurationCommitted: false }
+  let retirements = 0
+  const unused = async (): Promise<never> => { throw new Error('not used') }
+  const manager = new ReplicaGroupManager({
+    replica: { status: () => local, bootstrap: unused, promote: unused, remove: unused, replace: unused, listSilent: () => [] },
+    address: 'a',
+    seeds: () => [],
+    isFirstStart: false,
+    listPeers: () => ['b'],
+    desiredVoters: () => HOST_COUNT,
+    callPeer: async <Result>() => peer as Result,
+    onRetired: () => { retirements += 1 },
+    log: silentLog
+  })
+  manager.run().catch(() => {})
+  await advance(context, 10_000)
+  assert.equal(retirements, 0)
+  peer.isConfigurationCommitted = true
+  await advance(context, 10_000)
+  assert.equal(retirements, 1)
+})
--- a/src/agreement/ReplicaStatus.ts
+++ b/src/agreement/ReplicaStatus.ts
@@ -22,7 +22,10 @@
   last: LogPosition
   commitIndex: number
   appliedIndex: number
+  /** Latest membership in its log, committed or not. */
   configuration: ReplicaConfiguration
+  /** Whether that membership is committed; replicas of earlier versions do not tell it. */
+  isConfigurationCommitted?: boolean
   /** Message of the storage error that stopped the replica, if any. */
   failure?: string
 }
--- a/src/agreement/ReplicatedLog.ts
+++ b/src/agreement/ReplicatedLog.ts
@@ -99,11 +99,11 @@
 
   /** @returns role, term, positions and membership as this replica knows them */
   status (): ReplicaStatus {
-    const { identity, group, role, term, leader, commitIndex, appliedIndex, configuration, failure, tail, options } = this.#core
+    const { identity, group, role, term, leader, commitIndex, appliedIndex, configuration, appliedConfiguration, failure, tail, options } = this.#core
     const hasQuorum = this.#session.leadership?.acceptsProposals ?? false
     const hearsLeader = hasQuorum || (role === ReplicaRole.Follower && leader !== undefined && this.#core.hasRecentLeaderContact())
     const isCurrent = hearsLeader && this.#core.hasAppliedLeaderCommit()
-    return { identity, address: options.address, group, role, term, leader, hasQuorum, hearsLeader, isCurrent, last: tail.last, commitIndex, appliedIndex, configuration, failure: failure?.message }
+    return { identity, address: options.address, group, role, term, leader, hasQuorum, hearsLeader, isCurrent, last: tail.last, commitIndex, appliedIndex, configuration, isConfigurationCommitted: configuration === appliedConfiguration, failure: failure?.message }
   }
 
   /**
--- a/src/control/ReplicaGroupManager.ts
+++ b/src/control/ReplicaGroupManager.ts
@@ -4,6 +4,7 @@
 import type { ReplicatedLog } from '../agreement/ReplicatedLog.js'
 import { ReplicaRefusalReason } from '../agreement/ReplicaRefusalReason.js'
 import { ReplicaRole } from '../agreement/ReplicaRole.js'
+import type { ReplicaStatus } from '../agreement/ReplicaStatus.js'
 import type { Log } from '../observe/Log.js'
 import type { CallPeer } from '../transport/CallPeer.js'
 import { PeerMethod } from '../types/PeerMethod.js'
@@ -158,7 +159,9 @@
     const { identity, group } = replica.status()
     const statuses = await Promise.all(listPeers().map((address) => fetchReplicaStatus(callPeer, address, STATUS_TIMEOUT_MILLISECONDS)))
     this.#lastLeaderContactAt = performance.now()
-    if (statuses.some((status) => status !== undefined && status.group === group && status.configuration.retired.includes(identity))) this.#retire()
+    // A removal that is not committed may still be dropped, and the identity would have been given up for nothing.
+    const confirmsRemoval = (status: ReplicaStatus): boolean => status.isConfigurationCommitted !== false && status.group === group && status.configuration.retired.includes(identity)
+    if (statuses.some((status) => status !== undefined && confirmsRemoval(status))) this.#retire()
   }
 
   /** Gives up the identity of this replica, which was removed from the group. */
