--- a/src/entry/ServiceAdmission.ts
+++ b/src/entry/ServiceAdmission.ts
@@ -2,6 +2,7 @@
 import { DemandMeter } from '../limits/DemandMeter.js'
 import { AdmissionQueue } from '../placement/AdmissionQueue.js'
 import { computeSlotShare } from '../placement/computeSlotShare.js'
+import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
 import type { UpstreamLoads } from './UpstreamLoads.js'
 
 /** Time over which demand is measured: long enough for some requests at each host, short enough to follow a shift. */
@@ -57,8 +58,9 @@
 
   #computeLimit (service: string, demandMeter: DemandMeter): number {
     const now = performance.now()
+    const isPaused = (record: UpstreamRecord): boolean => this.#loads.findFirstReturn([record], now) !== undefined
     const slots = this.#known.listReady(service)
-      .filter(({ record, coldUntil }) => coldUntil <= now && !this.#known.isEvacuated(record.domain) && !this.#loads.isLost(record.id) && this.#loads.findFirstReturn([record], now) === undefined)
+      .filter(({ record, coldUntil }) => coldUntil <= now && !this.#known.isEvacuated(record.domain) && !this.#loads.isLost(record.id) && !isPaused(record))
       .reduce((sum, { record }) => sum + record.slots, 0)
     return computeSlotShare({ slots, localDemand: demandMeter.readPerSecond(), totalDemand: this.#known.demandOf(service), entryHosts: this.#known.countedEntryHosts })
   }
--- a/src/hibiscusrelay.ts
+++ b/src/hibiscusrelay.ts
@@ -100,7 +100,7 @@
 export { PlanProblem, type PlanFault } from './plan/PlanFault.js'
 export { PlanRegistry, type PlanAnswer, type PlanRegistryOptions } from './plan/PlanRegistry.js'
 export { PlanResult } from './plan/PlanResult.js'
-export type { IsCallerWaiting } from './plan/PlanRegistry.js'
+export type { IsCallerWaiting } from './types/IsCallerWaiting.js'
 export { hasCallerDisconnected } from './transport/hasCallerDisconnected.js'
 export { PlanState, type StoredPlanState } from './plan/PlanState.js'
 export { RouteTable } from './plan/RouteTable.js'
--- a/src/plan/PlanRegistry.ts
+++ b/src/plan/PlanRegistry.ts
@@ -1,6 +1,7 @@
 import { ProposalOutcome } from '../agreement/ProposalOutcome.js'
 import type { ProposalAnswer } from '../agreement/ProposalAnswer.js'
 import type { Log } from '../observe/Log.js'
+import type { IsCallerWaiting } from '../types/IsCallerWaiting.js'
 import { Step } from '../types/Step.js'
 import { checkPlan } from './checkPlan.js'
 import { PlanEntryKind, type EvacuationEntry, type PlanEntry, type PlanSubmission } from './PlanEntry.js'
@@ -11,9 +12,6 @@
 /** Number of times that an order is based on newer evacuations, when others are ordered at the same time. */
 const MAXIMUM_EVACUATION_ATTEMPTS = 8
 
-/** @returns whether the caller of an order still waits for the answer */
-export type IsCallerWaiting = () => Promise<boolean>
-
 const alwaysWaiting: IsCallerWaiting = async () => true
 
 /** Answer to a submitted plan. */
--- a/src/registry/UpstreamRegistry.ts
+++ b/src/registry/UpstreamRegistry.ts
@@ -1,5 +1,5 @@
 import type { Log } from '../observe/Log.js'
-import type { IsCallerWaiting } from '../plan/PlanRegistry.js'
+import type { IsCallerWaiting } from '../types/IsCallerWaiting.js'
 import { Step } from '../types/Step.js'
 import type { RegistrySharer } from './RegistrySharer.js'
 import { UpstreamReadiness, type UpstreamRecord } from './UpstreamRecord.js'
