--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -211,14 +211,7 @@
       crashes: this.#crashes,
       detector: this.#crashDetector,
       onExcuse: () => { this.#crashSharer.share() },
-      notices: new UpstreamNotices({
-        hostName: this.#options.settings().name,
-        known: this.#known,
-        loads: this.#loads,
-        onLeaving: () => { this.#pruneGoneUpstreams() },
-        counters: this.#options.counters,
-        log
-      }),
+      notices: new UpstreamNotices({ hostName: this.#options.settings().name, known: this.#known, loads: this.#loads, onLeaving: () => { this.#pruneGoneUpstreams() }, counters: this.#options.counters, log }),
       stopWindow: this.#stopWindow,
       answerBufferBytes: MAXIMUM_BUFFERED_ANSWER_BYTES,
       answerBudget: new AnswerBudget(MAXIMUM_BUFFERED_BYTES, MAXIMUM_STREAMED_ANSWERS),
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -122,11 +122,10 @@
   #chooseUpstream (request: EntryRequest, progress: RequestProgress): PlacementCandidate | RefusalReason {
     const { known, loads, regionOf, stopWindow } = this.#options
     if (!stopWindow.admits(request.deadline)) return RefusalReason.Stopping
-    const { route } = request
     const candidates = listCandidates(known, loads, {
       service: progress.service,
       placementKey: this.#getPlacementKey(request, progress),
-      homeRegions: route.homeRegions,
+      homeRegions: request.route.homeRegions,
       region: this.#options.region,
       excludedUpstreams: progress.excludedUpstreams,
       regionOf,
