--- a/src/control/ReplicaGroupManager.ts
+++ b/src/control/ReplicaGroupManager.ts
@@ -2,6 +2,7 @@
 import type { ReconfigureAnswer } from '../agreement/messages/ReconfigureAnswer.js'
 import { ReconfigureAction } from '../agreement/ReconfigureAction.js'
 import type { ReplicatedLog } from '../agreement/ReplicatedLog.js'
+import { listVoters, type ReplicaConfiguration } from '../agreement/ReplicaConfiguration.js'
 import { ReplicaRefusalReason } from '../agreement/ReplicaRefusalReason.js'
 import { ReplicaRole } from '../agreement/ReplicaRole.js'
 import type { ReplicaStatus } from '../agreement/ReplicaStatus.js'
@@ -57,6 +58,7 @@
   #isRunning = false
   #lastLeaderContactAt = performance.now()
   #wasCurrent = false
+  #loggedConfiguration: ReplicaConfiguration | undefined
   #failedIdentity: string | undefined
 
   /** @param options - the replica, its peers and the size of the group */
@@ -80,6 +82,7 @@
   async #checkGroup (): Promise<void> {
     const { role, hasQuorum, hearsLeader, isCurrent } = this.#options.replica.status()
     this.#logCurrencyChange(isCurrent)
+    this.#logMembershipChange()
     const now = performance.now()
     if (hasQuorum || hearsLeader) this.#lastLeaderContactAt = now
     if (role === ReplicaRole.Empty) await this.#formOrJoinGroup()
@@ -95,6 +98,15 @@
     this.#options.log.info(isCurrent ? 'replica-current' : 'replica-not-current', { step: Step.Registry, term, leader, applied: appliedIndex, committed: commitIndex, hearsLeader })
   }
 
+  /** Logs the members when they changed: their number tells how many lost disks an acknowledgement outlives. */
+  #logMembershipChange (): void {
+    const { configuration, isConfigurationCommitted, term, role } = this.#options.replica.status()
+    if (configuration === this.#loggedConfiguration) return
+    this.#loggedConfiguration = configuration
+    const voters = listVoters(configuration).map(({ address }) => address)
+    this.#options.log.info('group-members', { step: Step.Reconfigure, term, role, voters: voters.length, wanted: this.#options.desiredVoters(), members: configuration.members.length, committed: isConfigurationCommitted, addresses: voters.join(',') })
+  }
+
   async #formOrJoinGroup (): Promise<void> {
     if (this.#canBootstrap() && await this.#bootstrap()) return
     await askWithHedging(this.#options.listPeers(), (address) => this.#askToJoin(address), JOIN_HEDGING_DELAY_MILLISECONDS)
--- a/src/registry/UpstreamRegistry.ts
+++ b/src/registry/UpstreamRegistry.ts
@@ -36,7 +36,7 @@
   /** Merges the state that an upstream announces, and shares it with the other control hosts. */
   async announce (record: UpstreamRecord): Promise<AnnouncementResult> {
     const { upstreams, sharer, isKnownService } = this.#options
-    if (!isKnownService(record.service)) return AnnouncementResult.UnknownService
+    if (!isKnownService(record.service)) return this.#refuseUnknownService(record)
     const hasChanged = upstreams.merge(record)
     if (hasChanged) this.#publishChange(record)
     if (record.readiness === UpstreamReadiness.Draining) return await this.#confirmWithMajority(record)
@@ -64,6 +64,11 @@
     return await this.#confirmWithMajority(record)
   }
 
+  #refuseUnknownService ({ id, address, service }: UpstreamRecord): AnnouncementResult {
+    this.#options.log.warn('announcement-refused', { step: Step.Announce, peer: address, upstream: id, service, reason: AnnouncementResult.UnknownService })
+    return AnnouncementResult.UnknownService
+  }
+
   async #confirmWithMajority (record: UpstreamRecord): Promise<AnnouncementResult> {
     const isConfirmed = await this.#options.sharer.shareWithMajority(record)
     if (isConfirmed) return AnnouncementResult.Accepted
