Reproduce: the first plan is lost with two disks

In memory, on a paused clock: six control hosts, the first plan is acknowledged by a group of three voters, all are killed at that moment and two seeds lose their disks.

--- a/__tests__/control/ControlCluster.ts
+++ b/__tests__/control/ControlCluster.ts
@@ -47,15 +47,20 @@
   /** @returns hosts that form a complete replica group and have accepted plan 1 */
   static async start (context: TestContext, hostCount: number): Promise<ControlCluster> {
     const cluster = new ControlCluster(context, hostCount)
-    for (let index = 0; index < hostCount; index += 1) cluster.#createHost(index, new MemoryFiles(cluster.#random), true)
-    await Promise.all(cluster.hosts.map((host) => cluster.#open(host)))
-    context.after(() => { for (const host of cluster.hosts) cluster.kill(host) })
+    await Promise.all(cluster.#createHosts().map((host) => cluster.#open(host)))
     await cluster.waitUntil(() => cluster.hosts.every(({ events }) => events.includes('replica-current')), 'all replicas are current')
     await cluster.waitUntil(() => cluster.hosts.every(({ process }) => process.voterCount === hostCount), 'all replicas vote')
     await cluster.waitUntil(async () => (await cluster.hosts[0]!.process.plans.submit(createSubmission(1, 0))).result === PlanResult.Accepted, 'the first plan')
     return cluster
   }
 
+  /** @returns hosts that have just begun to form a replica group */
+  static begin (context: TestContext, hostCount: number): ControlCluster {
+    const cluster = new ControlCluster(context, hostCount)
+    for (const { process } of cluster.#createHosts()) process.open().then(async () => { await process.start() }, () => {})
+    return cluster
+  }
+
   /** Ends a host's process; what it had written stays, as without a loss of power. */
   kill (host: ClusterControlHost): void {
     host.files.crash()
@@ -92,6 +97,12 @@
     }
   }
 
+  #createHosts (): ClusterControlHost[] {
+    const created = Array.from({ length: this.#hostCount }, (_, index) => this.#createHost(index, new MemoryFiles(this.#random), true))
+    this.#context.after(() => { for (const host of this.hosts) this.kill(host) })
+    return created
+  }
+
   async #open ({ process }: ClusterControlHost): Promise<void> {
     await this.waitFor(process.open())
     await this.waitFor(process.start())
