Accept no plan before the group bears the loss of the tolerated disks

Callers saw: a change that was acknowledged right after the start was gone, and no control host answered a read any more, after two disks were lost (the site is to bear that). Cause: the first seed forms a group of three voters, and a majority of the present voters acknowledges, so two disks hold the first plan. The others vote 0.2 to 0.4 s later, or as late as they start. Change: a group that is bootstrapped with fewer voters than two for each tolerated loss and one more is marked as forming in its configuration, and refuses values until the leader takes the mark off, in a configuration of its own that is committed once enough voters are in. A system that has fewer control hosts for good accepts its first plan after 5 s without another one. The mark goes once: losses later don't bring it back, so a group that was complete bears as long a loss as before. Why it works: a value comes after the mark's removal in the log, and that after the last promotion, so a majority of at least five holds it.

--- a/__tests__/control/ControlCluster.ts
+++ b/__tests__/control/ControlCluster.ts
@@ -114,7 +114,7 @@
     const events: string[] = []
     const record = (event: string): void => { events.push(event) }
     const process = new ControlHostProcess({
-      settings: () => ({ peerAddress: address, domain: `domain-${index}`, region: 'asturias', dataFolder: '/data', seeds, isFirstStart, wantedVoters: this.#hostCount, announcementMilliseconds: 1_500 }),
+      settings: () => ({ peerAddress: address, domain: `domain-${index}`, region: 'asturias', dataFolder: '/data', seeds, isFirstStart, wantedVoters: this.#hostCount, toleratedLosses: undefined, announcementMilliseconds: 1_500 }),
       ...this.network.addHost(address),
       restart: () => { events.push('process-restart') },
       random: this.#random,
--- a/__tests__/control/ReplicaGroupManager.test.ts
+++ b/__tests__/control/ReplicaGroupManager.test.ts
@@ -35,6 +35,7 @@
       isFirstStart,
       listPeers: () => this.cluster.listAddresses().filter((address) => address !== host.address),
       desiredVoters: () => HOST_COUNT,
+      neededVoters: () => HOST_COUNT - 1,
       callPeer: host.callPeer,
       onRetired: () => { this.retired.push(host.address) },
       log: silentLog
@@ -209,12 +210,13 @@
   let retirements = 0
   const unused = async (): Promise<never> => { throw new Error('not used') }
   const manager = new ReplicaGroupManager({
-    replica: { status: () => local, bootstrap: unused, promote: unused, remove: unused, replace: unused, listSilent: () => [] },
+    replica: { status: () => local, bootstrap: unused, promote: unused, remove: unused, replace: unused, completeFormation: unused, listSilent: () => [] },
     address: 'a',
     seeds: () => [],
     isFirstStart: false,
     listPeers: () => ['b'],
     desiredVoters: () => HOST_COUNT,
+    neededVoters: () => HOST_COUNT - 1,
     callPeer: async <Result>() => peer as Result,
     onRetired: () => { retirements += 1 },
     log: silentLog
--- a/__tests__/control/retiredReplica.test.ts
+++ b/__tests__/control/retiredReplica.test.ts
@@ -44,7 +44,7 @@
     const events: string[] = []
     const record = (event: string): void => { events.push(event) }
     const process = new ControlHostProcess({
-      settings: () => ({ peerAddress: address, domain: `domain-${number}`, region: 'asturias', dataFolder: join(folder, `${number}`), seeds: addresses.slice(0, VOTER_COUNT), isFirstStart: true, wantedVoters: VOTER_COUNT, announcementMilliseconds: 1_500 }),
+      settings: () => ({ peerAddress: address, domain: `domain-${number}`, region: 'asturias', dataFolder: join(folder, `${number}`), seeds: addresses.slice(0, VOTER_COUNT), isFirstStart: true, wantedVoters: VOTER_COUNT, toleratedLosses: undefined, announcementMilliseconds: 1_500 }),
       ...network.addHost(address),
       restart: () => { restarted.push(address) },
       random: Math.random,
--- a/__tests__/control/smallGroup.test.ts
+++ b/__tests__/control/smallGroup.test.ts
@@ -28,6 +28,22 @@
   })
 }
 
+// Guards against a system that never accepts a plan because it has fewer control hosts than a complete group.
+test('a group with fewer hosts than it needs accepts the first plan after a while, and restarted at once', async (context: TestContext) => {
+  const cluster = ControlCluster.begin(context, HOST_COUNT)
+  for (const host of cluster.hosts.slice(4)) cluster.kill(host)
+  const startedAt = performance.now()
+  await cluster.waitUntil(async () => await submitAnywhere(cluster), 'the first plan')
+  const took = performance.now() - startedAt
+  assert.ok(took >= 5_000 && took < 10_000, `accepted after ${Math.round(took)} ms`)
+  const killed = cluster.hosts.slice(0, 4)
+  for (const host of killed) cluster.kill(host)
+  const [restarted] = await cluster.restart(killed, (files) => files.restartProcess())
+  const restartedAt = performance.now()
+  await cluster.waitUntil(async () => (await restarted!.process.plans.submit(createSubmission(2, 1))).result === PlanResult.Accepted, 'the second plan')
+  assert.ok(performance.now() - restartedAt < 4_000, `accepted ${Math.round(performance.now() - restartedAt)} ms after the restart`)
+})
+
 async function submitAnywhere (cluster: ControlCluster): Promise<boolean> {
   for (const { process } of cluster.hosts) if ((await process.plans.submit(createSubmission(1, 0))).result === PlanResult.Accepted) return true
   return false
--- a/src/agreement/Bootstrap.ts
+++ b/src/agreement/Bootstrap.ts
@@ -7,6 +7,7 @@
 import type { ReconfigureAnswer } from './messages/ReconfigureAnswer.js'
 import type { ReconfigureRequest } from './messages/ReconfigureRequest.js'
 import { ReconfigureAction } from './ReconfigureAction.js'
+import type { ReplicaConfiguration } from './ReplicaConfiguration.js'
 import type { ReplicaCore } from './ReplicaCore.js'
 import type { ReplicaMember } from './ReplicaMember.js'
 import { ReplicaRole } from './ReplicaRole.js'
@@ -27,14 +28,15 @@
 
   /**
    * @param addresses - peer addresses of all first members
+   * @param neededVoters - number of voters that the group must have had before it accepts values
    * @returns first state of the group, which all members have adopted
    * @throws {@link ReplicaRefusedError} when a replica belongs to another group or has not started, or the list is invalid
    */
-  async run (addresses: string[]): Promise<Snapshot> {
+  async run (addresses: string[], neededVoters: number): Promise<Snapshot> {
     if (addresses.length === 0 || new Set(addresses).size !== addresses.length) this.#refuse(errorTexts.bootstrapAddressesInvalid(), '')
     const statuses = await Promise.all(addresses.map((address) => this.#fetchStatus(address)))
     this.#requireStarted(addresses, statuses)
-    const snapshot = this.#createFirstSnapshot(addresses, statuses)
+    const snapshot = this.#createFirstSnapshot(addresses, statuses, neededVoters)
     statuses.forEach(({ group }, index) => {
       if (group !== undefined && group !== snapshot.group) this.#refuse(errorTexts.bootstrapGroupMismatch(addresses[index] ?? ''), addresses[index] ?? '')
     })
@@ -66,14 +68,16 @@
     if (address !== undefined) this.#refuse(errorTexts.bootstrapNotStarted(address), address)
   }
 
-  #createFirstSnapshot (addresses: string[], statuses: ReplicaStatus[]): Snapshot {
+  #createFirstSnapshot (addresses: string[], statuses: ReplicaStatus[], neededVoters: number): Snapshot {
     const members = statuses
       .map(({ identity }, index) => ({ identity, address: addresses[index] ?? '', role: MemberRole.Voter }))
       .sort((left, right) => left.identity < right.identity ? -1 : 1)
     const duplicate = members.find((member, index) => member.identity === members[index + 1]?.identity)
     if (duplicate !== undefined) this.#refuse(errorTexts.bootstrapDuplicateIdentity(duplicate.identity), duplicate.address)
     const group = createHash('sha256').update(JSON.stringify(members)).digest('hex')
-    return { group, position: { index: 0, term: 0 }, configuration: { members, retired: [] } }
+    const configuration: ReplicaConfiguration = { members, retired: [] }
+    if (members.length < neededVoters) configuration.isForming = true
+    return { group, position: { index: 0, term: 0 }, configuration }
   }
 
   async #sendSnapshot (member: ReplicaMember, snapshot: Snapshot): Promise<void> {
--- a/src/agreement/Leadership.ts
+++ b/src/agreement/Leadership.ts
@@ -105,8 +105,9 @@
     return this.#progressByIdentity.get(identity)
   }
 
-  /** Appends a value, and waits until it is committed and applied. */
+  /** Appends a value, and waits until it is committed and applied; refused while the group is forming. */
   async propose (value: unknown): Promise<ProposalAnswer<unknown>> {
+    if (this.#core.configuration.isForming === true) return { outcome: ProposalOutcome.NotAccepted, reason: ReplicaRefusalReason.GroupForming }
     return this.#propose({ kind: EntryKind.Value, value })
   }
 
--- a/src/agreement/MembershipChanges.ts
+++ b/src/agreement/MembershipChanges.ts
@@ -43,6 +43,7 @@
     if (action === ReconfigureAction.AddLearner) return this.#addLearner(address)
     if (action === ReconfigureAction.Promote) return this.#promote(identity)
     if (action === ReconfigureAction.Remove) return this.#remove(identity)
+    if (action === ReconfigureAction.CompleteFormation) return this.#completeFormation()
     return this.#replace(identity, address)
   }
 
@@ -56,28 +57,33 @@
     const otherMembers = members.filter((member) => member.identity !== status.identity)
     const existing = findMember(this.#core.configuration, status.identity)
     const added = { identity: status.identity, address, role: existing?.role ?? MemberRole.Learner }
-    return this.#commitConfiguration({ members: [...otherMembers, added], retired })
+    return this.#commitConfiguration({ ...this.#core.configuration, members: [...otherMembers, added] })
   }
 
   async #promote (identity: string): Promise<ReplicaRefusalReason | undefined> {
-    const { members, retired } = this.#core.configuration
+    const { members } = this.#core.configuration
     const member = findMember(this.#core.configuration, identity)
     if (member === undefined) return ReplicaRefusalReason.UnknownMember
     if (member.role === MemberRole.Voter) return undefined
     if (!await this.#waitUntilCaughtUp(identity)) return ReplicaRefusalReason.NotCaughtUp
     const promoted = members.map((other) => other.identity === identity ? { ...other, role: MemberRole.Voter } : other)
-    return this.#commitConfiguration({ members: promoted, retired })
+    return this.#commitConfiguration({ ...this.#core.configuration, members: promoted })
   }
 
   async #remove (identity: string): Promise<ReplicaRefusalReason | undefined> {
     const { members, retired } = this.#core.configuration
     if (retired.includes(identity)) return undefined
     if (findMember(this.#core.configuration, identity) === undefined) return ReplicaRefusalReason.UnknownMember
-    const remaining = { members: members.filter((member) => member.identity !== identity), retired: [...retired, identity] }
+    const remaining = { ...this.#core.configuration, members: members.filter((member) => member.identity !== identity), retired: [...retired, identity] }
     if (listVoters(remaining).length === 0) return ReplicaRefusalReason.LastVoter
     return this.#commitConfiguration(remaining)
   }
 
+  async #completeFormation (): Promise<ReplicaRefusalReason | undefined> {
+    const { isForming, ...configuration } = this.#core.configuration
+    return isForming === true ? this.#commitConfiguration(configuration) : undefined
+  }
+
   /** The new member must catch up before the lost one is removed: if it does not, the voters stay as they are. */
   async #replace (lostIdentity: string, address: string): Promise<ReplicaRefusalReason | undefined> {
     const status = await fetchReplicaStatus(this.#core.options.callPeer, address, this.#core.timings.statusMilliseconds)
--- a/src/agreement/ReconfigureAction.ts
+++ b/src/agreement/ReconfigureAction.ts
@@ -9,5 +9,7 @@
   /** Removes a member permanently. */
   Remove = 'remove',
   /** Replaces a lost member by the replica at an address. */
-  Replace = 'replace'
+  Replace = 'replace',
+  /** Lets a group that was forming accept values. */
+  CompleteFormation = 'complete-formation'
 }
--- a/src/agreement/ReplicaConfiguration.ts
+++ b/src/agreement/ReplicaConfiguration.ts
@@ -6,6 +6,8 @@
   members: ReplicaMember[]
   /** Identities that were removed and can never join again. */
   retired: string[]
+  /** Set until the group has had as many voters as it needs; it accepts no values until then. */
+  isForming?: true
 }
 
 /**
--- a/src/agreement/ReplicaRefusalReason.ts
+++ b/src/agreement/ReplicaRefusalReason.ts
@@ -20,6 +20,8 @@
   Overloaded = 'overloaded',
   /** Another membership change, or the leader's first entry, is not committed yet. */
   ChangeInProgress = 'change-in-progress',
+  /** The group has not had as many voters as it needs: too few disks would hold what it accepts. */
+  GroupForming = 'group-forming',
   /** The learner has not caught up yet. */
   NotCaughtUp = 'not-caught-up',
   /** No member has that identity. */
--- a/src/agreement/ReplicatedLog.ts
+++ b/src/agreement/ReplicatedLog.ts
@@ -129,10 +129,11 @@
    * Forms a group of empty replicas. The call is idempotent, through any of them.
    *
    * @param addresses - peer addresses of all first members, including this replica
+   * @param neededVoters - number of voters that the group must have had before it accepts values; others join and are promoted until then
    * @returns the first membership
    */
-  async bootstrap (addresses: string[]): Promise<ReplicaConfiguration> {
-    const { configuration } = await this.#session.bootstrap.run(addresses)
+  async bootstrap (addresses: string[], neededVoters = addresses.length): Promise<ReplicaConfiguration> {
+    const { configuration } = await this.#session.bootstrap.run(addresses, neededVoters)
     return configuration
   }
 
@@ -151,6 +152,11 @@
     return this.#reconfigure({ action: ReconfigureAction.Remove, forwarded: false, identity })
   }
 
+  /** Lets a group that was bootstrapped with fewer voters than it needs accept values from now on. */
+  completeFormation (): Promise<ReconfigureAnswer> {
+    return this.#reconfigure({ action: ReconfigureAction.CompleteFormation, forwarded: false })
+  }
+
   /**
    * Replaces a lost member by a new replica.
    *
--- a/src/control/ControlHostOptions.ts
+++ b/src/control/ControlHostOptions.ts
@@ -16,6 +16,8 @@
   isFirstStart: boolean
   /** Number of voters in a complete replica group. */
   wantedVoters: number
+  /** Number of control hosts whose disks may be lost at once; undefined for as many as a complete group bears. */
+  toleratedLosses: number | undefined
   announcementMilliseconds: number
 }
 
--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -15,6 +15,7 @@
 import { UpstreamTable } from '../registry/UpstreamTable.js'
 import { Step } from '../types/Step.js'
 import type { ControlHostOptions } from './ControlHostOptions.js'
+import { computeNeededVoters } from './computeNeededVoters.js'
 import { ControlHostTable } from './ControlHostTable.js'
 import { PlanReplica } from './PlanReplica.js'
 import { RecoveryFile } from './RecoveryFile.js'
@@ -127,7 +128,7 @@
         log,
         counters
       },
-      group: { seeds: () => settings().seeds, isFirstStart, listPeers: () => this.#controlHosts.listPeers(), desiredVoters: () => settings().wantedVoters },
+      group: { seeds: () => settings().seeds, isFirstStart, listPeers: () => this.#controlHosts.listPeers(), desiredVoters: () => settings().wantedVoters, neededVoters: () => computeNeededVoters(settings()) },
       onReset: () => { this.#restorePlans(undefined) },
       onFailure: restart
     })
--- a/src/control/PlanReplica.ts
+++ b/src/control/PlanReplica.ts
@@ -18,7 +18,7 @@
 /** Dependencies of {@link PlanReplica}. */
 export interface PlanReplicaOptions {
   replica: Omit<ReplicaOptions<PlanEntry, PlanResult>, 'makeIdentity'>
-  group: Pick<ReplicaGroupManagerOptions, 'seeds' | 'isFirstStart' | 'listPeers' | 'desiredVoters'>
+  group: Pick<ReplicaGroupManagerOptions, 'seeds' | 'isFirstStart' | 'listPeers' | 'desiredVoters' | 'neededVoters'>
   /** Called before the applied state is discarded, since the replica begins anew. */
   onReset: () => void
   /** Called when the replica cannot be opened anew. */
--- a/src/control/ReplicaGroupManager.ts
+++ b/src/control/ReplicaGroupManager.ts
@@ -13,6 +13,7 @@
 import { askWithHedging } from '../utils/askWithHedging.js'
 import { pause } from '../utils/pause.js'
 import { chooseRepair, RepairKind, type GroupHealth, type Repair } from './chooseRepair.js'
+import { isFormationOver } from './isFormationOver.js'
 
 const CHECK_INTERVAL_MILLISECONDS = 200
 /** Timeout for one member to add this replica; the leader asks this replica for its status meanwhile. */
@@ -30,7 +31,7 @@
 const BOOTSTRAP_DELAY_MILLISECONDS = 2_000
 
 /** The part of a replica that {@link ReplicaGroupManager} uses. */
-export type ManagedReplica = Pick<ReplicatedLog<unknown, unknown>, 'status' | 'bootstrap' | 'promote' | 'remove' | 'replace' | 'listSilent'>
+export type ManagedReplica = Pick<ReplicatedLog<unknown, unknown>, 'status' | 'bootstrap' | 'promote' | 'remove' | 'replace' | 'completeFormation' | 'listSilent'>
 
 /** Dependencies of {@link ReplicaGroupManager}. */
 export interface ReplicaGroupManagerOptions {
@@ -45,6 +46,8 @@
   listPeers: () => string[]
   /** @returns number of voters in a complete group */
   desiredVoters: () => number
+  /** @returns number of voters with which a majority survives the loss of all disks that may be lost at once */
+  neededVoters: () => number
   callPeer: CallPeer
   /** Called when this replica was removed from the group for good; its folder must be emptied before it joins again. */
   onRetired: () => void
@@ -60,6 +63,8 @@
   #wasCurrent = false
   #loggedConfiguration: ReplicaConfiguration | undefined
   #failedIdentity: string | undefined
+  /** Monotonic time at which this replica began to lead a forming group, in milliseconds. */
+  #formingSince: number | undefined
 
   /** @param options - the replica, its peers and the size of the group */
   constructor (options: ReplicaGroupManagerOptions) {
@@ -86,7 +91,7 @@
     const now = performance.now()
     if (hasQuorum || hearsLeader) this.#lastLeaderContactAt = now
     if (role === ReplicaRole.Empty) await this.#formOrJoinGroup()
-    else if (hasQuorum) await this.#repairGroup()
+    else if (hasQuorum) await this.#maintainGroup()
     else if (now - this.#lastLeaderContactAt > LEADER_SILENCE_MILLISECONDS) await this.#checkRetired()
   }
 
@@ -122,7 +127,7 @@
     const { replica, log } = this.#options
     const seeds = this.#options.seeds()
     try {
-      await replica.bootstrap(seeds)
+      await replica.bootstrap(seeds, this.#options.neededVoters())
       log.info('group-formed', { step: Step.Reconfigure, members: seeds.join(',') })
       return true
     } catch (error) {
@@ -145,6 +150,21 @@
     }
   }
 
+  async #maintainGroup (): Promise<void> {
+    if (this.#options.replica.status().configuration.isForming === true) await this.#checkFormation()
+    await this.#repairGroup()
+  }
+
+  async #checkFormation (): Promise<void> {
+    const { replica, neededVoters, log } = this.#options
+    const { configuration } = replica.status()
+    this.#formingSince ??= performance.now()
+    const milliseconds = performance.now() - this.#formingSince
+    if (!isFormationOver(configuration, { neededVoters: neededVoters(), milliseconds })) return
+    const { done, reason } = await replica.completeFormation()
+    log.info('group-complete', { step: Step.Reconfigure, voters: listVoters(configuration).length, needed: neededVoters(), took: Math.round(milliseconds), done, reason })
+  }
+
   async #repairGroup (): Promise<void> {
     const { replica, log, desiredVoters } = this.#options
     const health: GroupHealth = {
--- a/src/settings/PlanHostSettings.ts
+++ b/src/settings/PlanHostSettings.ts
@@ -23,6 +23,8 @@
   seeds: string[]
   /** Whether the system as a whole starts for the first time. */
   isFirstStart: boolean
+  /** Number of control hosts whose disks may be lost at once; undefined for as many as a complete group bears. */
+  toleratedLosses: number | undefined
   /** Interval between the announcements of an upstream. */
   announcementMilliseconds: number
   /** Time from the request to stop to the end of the process. */
--- a/src/settings/loadPlanHostSettings.ts
+++ b/src/settings/loadPlanHostSettings.ts
@@ -14,6 +14,8 @@
   .pipe(z.array(ADDRESS).min(1, 'allowed: one or more addresses, separated by commas'))
 const TRUE_OR_FALSE = z.union([z.boolean(), z.enum(['true', 'false'])], 'allowed: true or false').transform((value) => value === true || value === 'true')
 
+const OPTIONAL_COUNT = z.string().regex(/^\d{0,4}$/, 'allowed: a whole number').transform((text) => text === '' ? undefined : Number(text)).optional()
+
 function createNumberSchema (defaultValue: number) {
   return z.string().regex(/^\d+(\.\d+)?$/, 'allowed: a number').transform(Number).default(defaultValue)
 }
@@ -28,7 +30,7 @@
     'directory-address': OPTIONAL_ADDRESS,
     'metrics-address': OPTIONAL_ADDRESS
   }),
-  control: z.object({ 'seed-addresses': ADDRESSES, 'peer-port': PORT, 'first-start': TRUE_OR_FALSE.default(false), 'announcement-seconds': createNumberSchema(1.5) }),
+  control: z.object({ 'seed-addresses': ADDRESSES, 'peer-port': PORT, 'first-start': TRUE_OR_FALSE.default(false), 'tolerated-losses': OPTIONAL_COUNT, 'announcement-seconds': createNumberSchema(1.5) }),
   limits: z.object({ 'stop-seconds': createNumberSchema(6), 'retry-ratio': createNumberSchema(0.2), 'retry-allowance': createNumberSchema(10), 'retry-window-seconds': createNumberSchema(10) }).prefault({}),
   regions: z.record(z.string(), z.string()).default({})
 })
@@ -57,6 +59,7 @@
     metricsAddress: listen['metrics-address'],
     seeds: control['seed-addresses'].map((address) => `${splitAddress(address).host}:${control['peer-port']}`).sort(),
     isFirstStart: control['first-start'],
+    toleratedLosses: control['tolerated-losses'],
     announcementMilliseconds: control['announcement-seconds'] * 1000,
     stopMilliseconds: limits['stop-seconds'] * 1000,
     retryBound: { ratio: limits['retry-ratio'], allowance: limits['retry-allowance'], windowMilliseconds: limits['retry-window-seconds'] * 1000 },
