Fill a vacancy in the group before another voter is replaced

Callers would see: a change that was acknowledged by a majority of four voters is gone after two lost disks. Cause: a replacement was chosen before the promotion of a learner that fills a vacancy, so a second replacement took a group of five to four voters. Evidence: chooseRepair.test.ts, red before (Replace instead of Promote). Change: below the wanted number of voters the promotion goes first, unless it has just failed: a learner that cannot catch up must not hold back the others.

--- a/__tests__/control/chooseRepair.test.ts
+++ b/__tests__/control/chooseRepair.test.ts
@@ -32,6 +32,13 @@
   assert.deepEqual(repair, { kind: RepairKind.Replace, identity: 'l0', lost: 'v2', address: '127.0.0.2:1' })
 })
 
+// Guards against a group of four voters, which does not bear the loss of two disks, while two machines are replaced.
+test('a vacancy is filled before another lost voter is replaced, unless that failed', () => {
+  const vacancyAndReplacement = createConfiguration(5, '127.0.0.2:1', '127.0.0.9:1')
+  assert.deepEqual(chooseRepair(vacancyAndReplacement, createHealth(), 6), { kind: RepairKind.Promote, identity: 'l1' })
+  assert.deepEqual(chooseRepair(vacancyAndReplacement, createHealth([], { failedIdentity: 'l1' }), 6), { kind: RepairKind.Replace, identity: 'l0', lost: 'v2', address: '127.0.0.2:1' })
+})
+
 test('the longest silent voter is removed while there are more voters than desired', () => {
   assert.deepEqual(chooseRepair(createConfiguration(7), createHealth(['v3', 'v1']), 6), { kind: RepairKind.Remove, identity: 'v3' })
   assert.equal(chooseRepair(createConfiguration(7), createHealth([]), 6), undefined)
--- a/src/control/chooseRepair.ts
+++ b/src/control/chooseRepair.ts
@@ -29,7 +29,8 @@
 
 /**
  * Chooses how a leader repairs its group. A voter that is gone for good is removed before its replacement votes: as long
- * as both are voters, the majority is larger, and further losses could leave no majority. A learner that is gone, too, never
+ * as both are voters, the majority is larger, and further losses could leave no majority. One vacancy is filled before the
+ * next is made, so that an acknowledgement never rests on a majority of fewer voters. A learner that is gone, too, never
  * holds back those that joined after it.
  *
  * @param configuration - present members of the group
@@ -40,8 +41,11 @@
 export function chooseRepair (configuration: ReplicaConfiguration, health: GroupHealth, desiredVoters: number): Repair | undefined {
   const voters = listVoters(configuration)
   const learners = listUsableLearners(configuration, health)
-  return chooseReplacement(voters, learners) ??
-    chooseLearnerRemoval(configuration, health) ??
+  const replacement = chooseReplacement(voters, learners)
+  if (replacement !== undefined && voters.length >= desiredVoters) return replacement
+  return chooseLearnerRemoval(configuration, health) ??
+    chooseVacancyFill(voters, learners, health, desiredVoters) ??
+    replacement ??
     chooseVoterRemoval(voters, health, learners.length > 0 ? desiredVoters - 1 : desiredVoters) ??
     choosePromotion(learners)
 }
@@ -52,6 +56,12 @@
     .sort((left, right) => Number(left.identity === failedIdentity) - Number(right.identity === failedIdentity))
 }
 
+/** A learner whose promotion has just failed may fail again, and must not hold back a replacement. */
+function chooseVacancyFill (voters: ReplicaMember[], learners: ReplicaMember[], { failedIdentity }: GroupHealth, desiredVoters: number): Repair | undefined {
+  if (voters.length >= desiredVoters) return undefined
+  return choosePromotion(learners.filter(({ identity, address }) => identity !== failedIdentity && !voters.some((voter) => voter.address === address)))
+}
+
 function chooseReplacement (voters: ReplicaMember[], learners: ReplicaMember[]): Repair | undefined {
   for (const { identity, address } of learners) {
     const lostVoter = voters.find((voter) => voter.address === address)
