Accept upstreams of each service of the newest plan that a control host knows

Callers saw: a control host that restarts, and hears no leader, refused upstreams of an added service (422), although it gave entry hosts the plan that has the service.

Cause: an announcement was compared with the services of the applied plan.

Evidence: addedService.test.ts, "a host that restarts cut off accepts upstreams of a service of the plan that it recalls": unknown-service before, accepted after. A host whose state holds no plan at all accepted before, too.

Why it works: both answers now come from the same source, the newer of the applied and the restored plan.

--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -240,7 +240,7 @@
   }
 
   #isKnownService (service: string): boolean {
-    const { plan } = this.#planState
+    const { plan } = this.#planSource
     return plan === undefined || plan.services.some(({ name }) => name === service)
   }
 }
