Hold announcements of upstreams until the plan has their service

Callers saw: a route that was added with its service answered 503 until the upstreams announced themselves again, up to a period of 1.5 s after the plan, if they were started just before it, or if the control host that they called was behind.

Cause: an announcement with a service that the plan lacks was refused and forgotten.

Evidence: addedService.test.ts, red before: 200 ms after the plan the upstream that had announced itself 1.4 s before it was unknown at all three hosts, and at a host that had been cut off it was unknown once that host had caught up.

They are refused as before, so that the upstream calls a host that may know more; entry hosts never get them, and a record with a wrong service takes nothing from a sound one.

--- a/__tests__/control/addedService.test.ts
+++ b/__tests__/control/addedService.test.ts
@@ -4,6 +4,7 @@
 import type { PlanSubmission } from '../../src/plan/PlanEntry.js'
 import { PlanResult } from '../../src/plan/PlanResult.js'
 import { AnnouncementResult } from '../../src/registry/UpstreamRegistry.js'
+import { UpstreamReadiness } from '../../src/registry/UpstreamRecord.js'
 import { PeerMethod } from '../../src/types/PeerMethod.js'
 import { createRoute, createSubmission } from '../plan/createPlan.js'
 import { createUpstreamRecord } from '../registry/createUpstreamRecord.js'
@@ -38,6 +39,10 @@
   }
 }
 
+function findReadiness ({ upstreams }: FollowReply, id: string): UpstreamReadiness | undefined {
+  return upstreams.find(({ record }) => record.id === id)?.record.readiness
+}
+
 // Guards against a restarted host that refuses upstreams of a service that the newest plan it knows has.
 test('a host that restarts cut off accepts upstreams of a service of the plan that it recalls', async (context: TestContext) => {
   const cluster = await ControlCluster.start(context, HOST_COUNT)
@@ -53,3 +58,53 @@
   assert.equal((await follow(cluster, restarted!)).position.planVersion, 2)
   assert.equal(await cluster.waitFor(restarted!.process.upstreams.announce(ADDED_UPSTREAM)), AnnouncementResult.Accepted)
 })
+
+// Guards against an added route that waits for the next announcement of upstreams that were started just before the plan.
+test('an upstream that announced itself before the plan had its service is usable as soon as the plan has it', async (context: TestContext) => {
+  const cluster = await ControlCluster.start(context, HOST_COUNT)
+  assert.equal(await cluster.waitFor(cluster.hosts[0]!.process.upstreams.announce(ADDED_UPSTREAM)), AnnouncementResult.UnknownService)
+  await cluster.advance(1_400)
+  assert.equal(findReadiness(await follow(cluster, cluster.hosts[0]!), 'i-added'), undefined, 'not used before')
+  await submit(cluster, createAddition(2, 1))
+  await cluster.advance(200)
+  for (const host of cluster.hosts) assert.equal(findReadiness(await follow(cluster, host), 'i-added'), UpstreamReadiness.Ready, host.address)
+})
+
+test('an upstream that has been silent for long when the plan gets its service is not used', async (context: TestContext) => {
+  const cluster = await ControlCluster.start(context, HOST_COUNT)
+  await cluster.waitFor(cluster.hosts[0]!.process.upstreams.announce(ADDED_UPSTREAM))
+  await cluster.advance(5_000)
+  await submit(cluster, createAddition(2, 1))
+  await cluster.advance(200)
+  for (const host of cluster.hosts) assert.equal(findReadiness(await follow(cluster, host), 'i-added'), undefined, host.address)
+})
+
+test('an announcement with a service that the plan lacks takes nothing from an upstream that is known', async (context: TestContext) => {
+  const cluster = await ControlCluster.start(context, HOST_COUNT)
+  const known = createUpstreamRecord({ id: 'i-known' })
+  const { upstreams } = cluster.hosts[0]!.process
+  assert.equal(await cluster.waitFor(upstreams.announce(known)), AnnouncementResult.Accepted)
+  const odd = [{ ...known, service: 'nowhere', sequence: 9 }, { ...known, service: 'nowhere', sequence: 10, readiness: UpstreamReadiness.Draining }, { ...known, id: 'i-other', service: 'nowhere', bornAt: 2_000 }]
+  for (const record of odd) assert.equal(await cluster.waitFor(upstreams.announce(record)), AnnouncementResult.UnknownService)
+  await submit(cluster, createAddition(2, 1))
+  await cluster.advance(200)
+  for (const host of cluster.hosts) {
+    const reply = await follow(cluster, host)
+    assert.deepEqual([findReadiness(reply, 'i-known'), findReadiness(reply, 'i-other')], [UpstreamReadiness.Ready, undefined], host.address)
+  }
+})
+
+// Guards against an added route that a host which was behind can't serve until its upstreams announce themselves again.
+test('upstreams that called a host which was behind are usable there once it has caught up', async (context: TestContext) => {
+  const cluster = await ControlCluster.start(context, HOST_COUNT)
+  const lagging = cluster.hosts[2]!
+  await cluster.advance(200)
+  cutOff(cluster, lagging)
+  const addition = createAddition(2, 1)
+  await cluster.waitUntil(async () => (await cluster.hosts[0]!.process.plans.submit(addition)).result === PlanResult.Accepted, 'the added service')
+  assert.equal(await cluster.waitFor(lagging.process.upstreams.announce(ADDED_UPSTREAM)), AnnouncementResult.UnknownService)
+  cluster.network.heal()
+  await cluster.waitUntil(async () => (await follow(cluster, lagging)).position.planVersion === 2, 'the host has caught up')
+  await cluster.advance(50)
+  for (const host of cluster.hosts) assert.equal(findReadiness(await follow(cluster, host), 'i-added'), UpstreamReadiness.Ready, host.address)
+})
--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -139,12 +139,14 @@
     const { plan, evacuated, evacuationRevision } = this.#planSource
     this.#planSource.restore({ plan, evacuated, evacuationRevision })
     this.#planState.restore(stored)
+    this.upstreams.acceptHeld()
     this.#publishChange()
   }
 
   #apply (entry: PlanEntry, index: number): PlanResult {
     const previousVersion = this.#planState.plan?.version
     const result = this.#planState.apply(entry, index)
+    if (entry.kind === PlanEntryKind.Submit) this.upstreams.acceptHeld()
     if (entry.kind !== PlanEntryKind.Barrier) this.#publishChange()
     const { plan, evacuated } = this.#planState
     this.#options.log.info('entry-applied', { step: Step.PlanSubmit, kind: entry.kind, index, result, before: previousVersion, version: plan?.version, evacuated: evacuated.join(',') })
--- a/src/registry/UpstreamRegistry.ts
+++ b/src/registry/UpstreamRegistry.ts
@@ -1,6 +1,7 @@
 import type { Log } from '../observe/Log.js'
 import type { IsCallerWaiting } from '../types/IsCallerWaiting.js'
 import { Step } from '../types/Step.js'
+import { HeldAnnouncements } from './HeldAnnouncements.js'
 import type { RegistrySharer } from './RegistrySharer.js'
 import { UpstreamReadiness, type UpstreamRecord } from './UpstreamRecord.js'
 import type { UpstreamTable } from './UpstreamTable.js'
@@ -8,7 +9,7 @@
 /** Answer of a control host to an announcement of an upstream. */
 export enum AnnouncementResult {
   Accepted = 'accepted',
-  /** The plan has no such service. */
+  /** No known plan has such a service; the announcement counts as soon as one has it. */
   UnknownService = 'unknown-service',
   /** Too few control hosts hold it; sending it again, to any of them, is safe. */
   NotHeld = 'not-held'
@@ -27,16 +28,25 @@
 /** Accepts announcements of upstreams. A drain or a departure is acknowledged only when a majority of the control hosts holds it. */
 export class UpstreamRegistry {
   readonly #options: UpstreamRegistryOptions
+  readonly #held: HeldAnnouncements
 
   /** @param options - the table, its sharing with the other control hosts, and callbacks */
   constructor (options: UpstreamRegistryOptions) {
     this.#options = options
+    this.#held = new HeldAnnouncements(options.upstreams.lostMilliseconds)
   }
 
-  /** Merges the state that an upstream announces, and shares it with the other control hosts. */
+  /**
+   * Merges the state that an upstream announces, and shares it with the other control hosts. If the service is unknown, the
+   * announcement is held: the plan may get the service, or this host may be behind. The upstream is refused all the same, so
+   * that it calls another host.
+   */
   async announce (record: UpstreamRecord): Promise<AnnouncementResult> {
     const { upstreams, sharer, isKnownService } = this.#options
-    if (!isKnownService(record.service)) return this.#refuseUnknownService(record)
+    if (!isKnownService(record.service)) {
+      this.#held.hold(record)
+      return this.#refuseUnknownService(record)
+    }
     const hasChanged = upstreams.merge(record)
     if (hasChanged) this.#publishChange(record)
     if (record.readiness === UpstreamReadiness.Draining) return await this.#confirmWithMajority(record)
@@ -45,6 +55,16 @@
     return AnnouncementResult.Accepted
   }
 
+  /** Merges and shares the held announcements whose service is known by now. Called after each change of the known plan. */
+  acceptHeld (): void {
+    const { upstreams, sharer, isKnownService } = this.#options
+    for (const { record, ageMilliseconds } of this.#held.take(isKnownService)) {
+      if (!upstreams.merge(record, ageMilliseconds)) continue
+      this.#publishChange(record)
+      sharer.shareChange({ ...record, coldMilliseconds: Math.max(0, record.coldMilliseconds - ageMilliseconds) })
+    }
+  }
+
   /**
    * Records that an upstream leaves for good, and shares it with the other control hosts.
    *
--- a/src/registry/UpstreamTable.ts
+++ b/src/registry/UpstreamTable.ts
@@ -34,6 +34,11 @@
     this.#timings = timings
   }
 
+  /** Silence after which an upstream counts as lost. */
+  get lostMilliseconds (): number {
+    return this.#timings.lostMilliseconds
+  }
+
   /** Rises with each change that followers need to know. */
   get revision (): number {
     return this.#revision
