Let upstreams of a removed service report that they drain

Callers saw: an upstream that leaves after the operator had removed its service got 422 for its drain at every control host, and ended without an acknowledgement.

Cause: the service of each announcement had to be in the plan, also that of an upstream which had been accepted before.

Evidence: addedService.test.ts, "an upstream whose service was removed from the plan can still report that it drains, and leave": unknown-service before, accepted after.

Why it works: an announcement of a start that is known under the same service is accepted whatever the plan names. No route leads to the service, so no request does.

--- a/__tests__/control/addedService.test.ts
+++ b/__tests__/control/addedService.test.ts
@@ -108,3 +108,16 @@
   await cluster.advance(50)
   for (const host of cluster.hosts) assert.equal(findReadiness(await follow(cluster, host), 'i-added'), UpstreamReadiness.Ready, host.address)
 })
+
+// Guards against upstreams that are left without an acknowledgement because their service was removed before they leave.
+test('an upstream whose service was removed from the plan can still report that it drains, and leave', async (context: TestContext) => {
+  const cluster = await ControlCluster.start(context, HOST_COUNT)
+  await submit(cluster, createAddition(2, 1))
+  await cluster.advance(200)
+  const { upstreams } = cluster.hosts[1]!.process
+  assert.equal(await cluster.waitFor(upstreams.announce(ADDED_UPSTREAM)), AnnouncementResult.Accepted)
+  await submit(cluster, createSubmission(3, 2))
+  await cluster.advance(200)
+  assert.equal(await cluster.waitFor(upstreams.announce({ ...ADDED_UPSTREAM, sequence: 2, readiness: UpstreamReadiness.Draining })), AnnouncementResult.Accepted)
+  assert.equal(await cluster.waitFor(upstreams.remove('i-added', ADDED_UPSTREAM.bornAt)), AnnouncementResult.Accepted)
+})
--- a/src/registry/UpstreamRegistry.ts
+++ b/src/registry/UpstreamRegistry.ts
@@ -43,7 +43,7 @@
    */
   async announce (record: UpstreamRecord): Promise<AnnouncementResult> {
     const { upstreams, sharer, isKnownService } = this.#options
-    if (!isKnownService(record.service)) {
+    if (!isKnownService(record.service) && !this.#isKnownStart(record)) {
       this.#held.hold(record)
       return this.#refuseUnknownService(record)
     }
@@ -84,6 +84,12 @@
     return await this.#confirmWithMajority(record)
   }
 
+  /** @returns whether the upstream was accepted under this service since its start; the service may have been removed from the plan since */
+  #isKnownStart ({ id, bornAt, service }: UpstreamRecord): boolean {
+    const known = this.#options.upstreams.get(id)?.record
+    return known !== undefined && known.bornAt === bornAt && known.service === service
+  }
+
   #refuseUnknownService ({ id, address, service }: UpstreamRecord): AnnouncementResult {
     this.#options.log.warn('announcement-refused', { step: Step.Announce, peer: address, upstream: id, service, reason: AnnouncementResult.UnknownService })
     return AnnouncementResult.UnknownService
