Let a replica with unusable files begin anew in the platform form

Callers would see: no control host answers a read after two disks are lost, though the group bears that, once one host had lost a part of its files at any time before. Cause: files that are missing or corrupt stopped a replica until an operator emptied its folder. The platform form has no operator, so the host stayed a silent voter for good, one loss of the two that the group bears.

Change: the group manager gives such a replica a new identity, as after a removal; the leader then replaces the old identity at its address. The old files stay until the new replica has joined a group.

--- a/src/agreement/ReplicaStatus.ts
+++ b/src/agreement/ReplicaStatus.ts
@@ -28,4 +28,6 @@
   isConfigurationCommitted?: boolean
   /** Message of the storage error that stopped the replica, if any. */
   failure?: string
+  /** Whether its files are missing or corrupt, so that it cannot be opened again; replicas of earlier versions do not tell it. */
+  isUnusable?: boolean
 }
--- a/src/agreement/ReplicatedLog.ts
+++ b/src/agreement/ReplicatedLog.ts
@@ -103,7 +103,7 @@
     const hasQuorum = this.#session.leadership?.acceptsProposals ?? false
     const hearsLeader = hasQuorum || (role === ReplicaRole.Follower && leader !== undefined && this.#core.hasRecentLeaderContact())
     const isCurrent = hearsLeader && this.#core.hasAppliedLeaderCommit()
-    return { identity, address: options.address, group, role, term, leader, hasQuorum, hearsLeader, isCurrent, last: tail.last, commitIndex, appliedIndex, configuration, isConfigurationCommitted: configuration === appliedConfiguration, failure: failure?.message }
+    return { identity, address: options.address, group, role, term, leader, hasQuorum, hearsLeader, isCurrent, last: tail.last, commitIndex, appliedIndex, configuration, isConfigurationCommitted: configuration === appliedConfiguration, failure: failure?.message, isUnusable: failure?.isTransient === false }
   }
 
   /**
--- a/src/control/PlanReplica.ts
+++ b/src/control/PlanReplica.ts
@@ -25,7 +25,7 @@
   onFailure: () => void
 }
 
-/** A control host's replica of the log of plans, which keeps itself in the group: a replica that was removed begins anew. */
+/** A control host's replica of the log of plans, which keeps itself in the group: a replica that was removed, or whose files are unusable, begins anew. */
 export class PlanReplica {
   readonly #options: PlanReplicaOptions
   #replica: ReplicatedLog<PlanEntry, PlanResult>
@@ -119,7 +119,7 @@
     })
   }
 
-  /** Begins anew, with another identity and an empty log, after the group removed this replica for good. */
+  /** Begins anew, with another identity and an empty log. The old files stay until the replica has joined a group. */
   async #rejoin (): Promise<void> {
     const { replica: { files, folder }, onReset } = this.#options
     await this.#replica.stop()
--- a/src/control/ReplicaGroupManager.ts
+++ b/src/control/ReplicaGroupManager.ts
@@ -49,7 +49,7 @@
   /** @returns number of voters with which a majority survives the loss of all disks that may be lost at once */
   neededVoters: () => number
   callPeer: CallPeer
-  /** Called when this replica was removed from the group for good; its folder must be emptied before it joins again. */
+  /** Called when this replica can take no further part: it was removed from the group for good, or its files are missing or corrupt. */
   onRetired: () => void
   log: Log
 }
@@ -85,11 +85,12 @@
   }
 
   async #checkGroup (): Promise<void> {
-    const { role, hasQuorum, hearsLeader, isCurrent } = this.#options.replica.status()
+    const { role, hasQuorum, hearsLeader, isCurrent, isUnusable, failure } = this.#options.replica.status()
     this.#logCurrencyChange(isCurrent)
     this.#logMembershipChange()
     const now = performance.now()
     if (hasQuorum || hearsLeader) this.#lastLeaderContactAt = now
+    if (isUnusable === true) return this.#retire(failure)
     if (role === ReplicaRole.Empty) await this.#formOrJoinGroup()
     else if (hasQuorum) await this.#maintainGroup()
     else if (now - this.#lastLeaderContactAt > LEADER_SILENCE_MILLISECONDS) await this.#checkRetired()
@@ -196,11 +197,11 @@
     if (statuses.some((status) => status !== undefined && confirmsRemoval(status))) this.#retire()
   }
 
-  /** Gives up the identity of this replica, which was removed from the group. */
-  #retire (): void {
+  /** Gives up the identity of this replica: there is no operator who would put back its files or replace it. */
+  #retire (failure?: string): void {
     if (!this.#isRunning) return
     const { replica, onRetired, log } = this.#options
-    log.warn('replica-retired', { step: Step.Reconfigure, identity: replica.status().identity })
+    log.warn('replica-retired', { step: Step.Reconfigure, identity: replica.status().identity, cause: failure })
     this.#isRunning = false
     onRetired()
   }
