--- a/__tests__/control/isFormationOver.test.ts
+++ b/__tests__/control/isFormationOver.test.ts
@@ -26,8 +26,9 @@
   assert.equal(isFormationOver(createConfiguration(5), { neededVoters: 5, milliseconds: 0 }), true)
 })
 
-test('a group that no further host joins accepts orders after a while, and one that a host is joining waits for it', () => {
+test('a group that no further host joins accepts orders after a while, and one that a host is joining waits longer, but not for good', () => {
   assert.equal(isFormationOver(createConfiguration(3), { neededVoters: 5, milliseconds: 4_900 }), false)
   assert.equal(isFormationOver(createConfiguration(3), { neededVoters: 5, milliseconds: 5_000 }), true)
-  assert.equal(isFormationOver(createConfiguration(4, 1), { neededVoters: 5, milliseconds: 5_000 }), false)
+  assert.equal(isFormationOver(createConfiguration(4, 1), { neededVoters: 5, milliseconds: 9_900 }), false)
+  assert.equal(isFormationOver(createConfiguration(4, 1), { neededVoters: 5, milliseconds: 10_000 }), true)
 })
--- a/src/control/isFormationOver.ts
+++ b/src/control/isFormationOver.ts
@@ -6,6 +6,8 @@
  * not exist. It is longer than the time within which a host that has started is to be a voter.
  */
 const MAXIMUM_FORMATION_MILLISECONDS = 5_000
+/** The same while hosts are joining: one whose disk fails joins, but never catches up. */
+const MAXIMUM_JOINING_MILLISECONDS = 10_000
 
 /** What a leader knows of the forming of its group. */
 export interface Formation {
@@ -26,5 +28,5 @@
 export function isFormationOver (configuration: ReplicaConfiguration, { neededVoters, milliseconds }: Formation): boolean {
   if (listVoters(configuration).length >= neededVoters) return true
   const hasLearners = configuration.members.some(({ role }) => role === MemberRole.Learner)
-  return !hasLearners && milliseconds >= MAXIMUM_FORMATION_MILLISECONDS
+  return milliseconds >= (hasLearners ? MAXIMUM_JOINING_MILLISECONDS : MAXIMUM_FORMATION_MILLISECONDS)
 }
