Acknowledge no departure on two disks while the group is forming

A drain or departure could be acknowledged while only two disks held it, and be forgotten with them.

Cause: a departure waits for a majority of the present voters. A group that is forming has three at first, and a majority of two.

Why it works: while the group is forming, the majority is that of the voters which the group needs, as for plans.

--- a/__tests__/control/departures.test.ts
+++ b/__tests__/control/departures.test.ts
@@ -4,10 +4,15 @@
 import { AnnouncementResult } from '../../src/registry/UpstreamRegistry.js'
 import { UpstreamReadiness } from '../../src/registry/UpstreamRecord.js'
 import { PeerMethod } from '../../src/types/PeerMethod.js'
+import type { MemoryFiles } from '../agreement/support/MemoryFiles.js'
 import { createUpstreamRecord } from '../registry/createUpstreamRecord.js'
 import { ControlCluster, FOLLOW_REQUEST } from './ControlCluster.js'
 
 const HOST_COUNT = 6
+/** Longer than the group needs to form. */
+const WATCHED_MILLISECONDS = 6_000
+/** Longer than each test. */
+const STALLED_MILLISECONDS = 600_000
 const ANNOUNCED = createUpstreamRecord({ id: 'i-1', sequence: 1 })
 
 const departures = [
@@ -33,3 +38,18 @@
     }
   })
 }
+
+for (const { name, leave } of departures) {
+  // Guards against an acknowledgement that rests on two disks while the group has only its first three voters.
+  test(`a ${name} that two disks hold is not acknowledged while the group is forming`, async (context: TestContext) => {
+    const cluster = ControlCluster.begin(context, HOST_COUNT)
+    for (const { files } of cluster.hosts.slice(2)) stallRecoveryFile(files)
+    const startedAt = performance.now()
+    while (performance.now() - startedAt < WATCHED_MILLISECONDS) assert.equal(await cluster.waitFor(leave(cluster)), AnnouncementResult.NotHeld, `after ${performance.now() - startedAt} ms`)
+  })
+}
+
+function stallRecoveryFile (files: MemoryFiles): void {
+  files.slowPathPattern = /recovery/
+  files.syncMilliseconds = STALLED_MILLISECONDS
+}
--- a/src/control/PlanReplica.ts
+++ b/src/control/PlanReplica.ts
@@ -48,9 +48,11 @@
     return this.#listVoterAddresses().includes(this.#options.replica.address)
   }
 
-  /** Number of voting members that form a majority. */
+  /** Number of voting members that form a majority; while the group is forming, of as many as it needs. */
   get majoritySize (): number {
-    return computeMajority(this.status.configuration)
+    const { configuration } = this.status
+    const size = computeMajority(configuration)
+    return configuration.isForming === true ? Math.max(size, Math.floor(this.#options.group.neededVoters() / 2) + 1) : size
   }
 
   /** @returns peer addresses of the other voting members */
