Count no control host with an empty disk towards the registries that a start merges

Requests could go to an upstream whose drain or departure had been acknowledged.

Cause: a host that starts answers entry hosts once it has merged the registries of a majority. Hosts that had lost their disks counted, with registries that held nothing; a host with an empty disk itself waited for one answer of each peer, whatever that held.

Why it works: a registry tells its origin. An empty one counts only once its host has merged a majority, and the recovery file keeps that across a further restart. A host without a log waits for one that has merged. All waits end after 1.5 s as before: if hosts that hold the departure are away for longer, it is unknown until they are back.

--- a/__tests__/control/RecoveryFile.test.ts
+++ b/__tests__/control/RecoveryFile.test.ts
@@ -2,6 +2,7 @@
 import { test, type TestContext } from 'node:test'
 import { RecoveryFile, type RecoveryRecord } from '../../src/control/RecoveryFile.js'
 import { RestoredPlans } from '../../src/plan/RestoredPlans.js'
+import { RegistryOrigin } from '../../src/registry/RegistryMessages.js'
 import { UpstreamTable } from '../../src/registry/UpstreamTable.js'
 import { UpstreamReadiness } from '../../src/registry/UpstreamRecord.js'
 import { MemoryFiles } from '../agreement/support/MemoryFiles.js'
@@ -44,6 +45,23 @@
   assert.deepEqual(restored?.upstreams, [createUpstreamRecord()])
 })
 
+// Guards against a host that lost its disk and counts as one that knows all departures once it was started again.
+test('a registry that was written before it was complete is restored as an empty one', async (context: TestContext) => {
+  pauseClock(context)
+  const expected = [[RegistryOrigin.Empty, RegistryOrigin.Empty], [RegistryOrigin.Restored, RegistryOrigin.Restored], [RegistryOrigin.Merged, RegistryOrigin.Restored], [undefined, RegistryOrigin.Restored]] as const
+  for (const [written, restored] of expected) {
+    const { files, file } = createFixture(new MemoryFiles(() => 0), () => ({ ...createRecoveryRecord(1), registry: written }))
+    file.scheduleWrite()
+    await advance(context, 200)
+    const { file: restarted } = createFixture(files, () => createRecoveryRecord(0))
+    await restarted.read()
+    assert.equal(restarted.registryOrigin, restored)
+  }
+  const { file: missing } = createFixture(new MemoryFiles(() => 0), () => createRecoveryRecord(0))
+  await missing.read()
+  assert.equal(missing.registryOrigin, undefined)
+})
+
 test('changes are durable once they are flushed, also after a write that failed', async (context: TestContext) => {
   pauseClock(context)
   let version = 1
--- a/__tests__/registry/RegistrySharer.test.ts
+++ b/__tests__/registry/RegistrySharer.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test, type TestContext } from 'node:test'
 import { EntryHostTable } from '../../src/registry/EntryHostTable.js'
+import { RegistryOrigin } from '../../src/registry/RegistryMessages.js'
 import { RegistrySharer } from '../../src/registry/RegistrySharer.js'
 import { UpstreamReadiness } from '../../src/registry/UpstreamRecord.js'
 import { AnnouncementResult, UpstreamRegistry } from '../../src/registry/UpstreamRegistry.js'
@@ -36,6 +37,7 @@
         if (disk.isStalled) await new Promise(() => {})
         disk.persisted = upstreams.list().map(({ record }) => `${record.id} ${record.readiness}`)
       },
+      firstOrigin: () => RegistryOrigin.Restored,
       hasLocalReport: () => true,
       describeSelf: () => ({ peerAddress: address, domain: address, region: 'r' }),
       onControlHost: () => {},
--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -10,6 +10,7 @@
 import { PlanState, type StoredPlanState } from '../plan/PlanState.js'
 import type { ControlHost } from '../registry/ControlHost.js'
 import { EntryHostTable } from '../registry/EntryHostTable.js'
+import { RegistryOrigin } from '../registry/RegistryMessages.js'
 import { RegistrySharer } from '../registry/RegistrySharer.js'
 import { UpstreamRegistry } from '../registry/UpstreamRegistry.js'
 import { UpstreamTable } from '../registry/UpstreamTable.js'
@@ -179,7 +180,7 @@
   }
 
   #createSharer (): RegistrySharer {
-    const { callPeer, registerHandler, log } = this.#options
+    const { settings, callPeer, registerHandler, log } = this.#options
     return new RegistrySharer({
       upstreams: this.#upstreamTable,
       entryHosts: this.entryHosts,
@@ -191,6 +192,7 @@
       isVoter: () => this.#replica.isVoter,
       majoritySize: () => this.#replica.majoritySize,
       persist: () => this.#recoveryFile.flush(),
+      firstOrigin: () => this.#recoveryFile.registryOrigin ?? (settings().isFirstStart ? RegistryOrigin.Merged : RegistryOrigin.Empty),
       hasLocalReport: (name) => this.#stateFeed.hasRecentReport(name),
       describeSelf: () => this.#describeSelf(),
       onControlHost: (host) => { this.#controlHosts.recordContact(host) },
@@ -206,7 +208,7 @@
       folder: settings().dataFolder,
       describe: () => {
         const { plan, evacuated, evacuationRevision } = this.#planSource
-        return { plan, evacuated, evacuationRevision, upstreams: this.#upstreamTable.describe(), crashes: this.#crashes.table.changedSince(0) }
+        return { plan, evacuated, evacuationRevision, upstreams: this.#upstreamTable.describe(), registry: this.#registrySharer.origin, crashes: this.#crashes.table.changedSince(0) }
       },
       log
     })
--- a/src/control/RecoveryFile.ts
+++ b/src/control/RecoveryFile.ts
@@ -6,6 +6,7 @@
 import type { CrashReport } from '../crashes/CrashReport.js'
 import type { Log } from '../observe/Log.js'
 import type { PlanSource } from '../plan/PlanSource.js'
+import { RegistryOrigin } from '../registry/RegistryMessages.js'
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
 import { Step } from '../types/Step.js'
 import { pause } from '../utils/pause.js'
@@ -22,6 +23,8 @@
 /** State that a control host restores after a restart. */
 export interface RecoveryRecord extends PlanSource {
   upstreams: UpstreamRecord[]
+  /** Origin of the upstreams; files of earlier versions have none. */
+  registry?: RegistryOrigin
   /** Requests under which upstreams ended; files of earlier versions have none. */
   crashes?: CrashReport
 }
@@ -58,6 +61,7 @@
   #changeCount = 0
   #savedCount = 0
   #isWriting = false
+  #registryOrigin: RegistryOrigin | undefined
   #isStopped = false
   #lastWriteStartedAt = Number.NEGATIVE_INFINITY
   #waiters: Array<{ changeCount: number, settle: (failure?: unknown) => void }> = []
@@ -69,10 +73,16 @@
     this.#path = join(options.folder, FILE_NAME)
   }
 
+  /** Origin of the upstreams that were read, undefined when the file was missing or unreadable. */
+  get registryOrigin (): RegistryOrigin | undefined {
+    return this.#registryOrigin
+  }
+
   /** @returns the stored state, undefined when the file is missing or unreadable */
   async read (): Promise<RestoredRecord | undefined> {
     try {
       const stored = await readRecord<StoredRecord>(this.#options.files, this.#path)
+      if (stored !== undefined) this.#registryOrigin = stored.registry === RegistryOrigin.Empty ? RegistryOrigin.Empty : RegistryOrigin.Restored
       return stored === undefined ? undefined : { ...stored, ageMilliseconds: Math.max(0, Date.now() - (stored.writtenAt ?? Date.now())) }
     } catch (error) {
       this.#options.log.warn('recovery-unreadable', { step: Step.Storage, peer: this.#path, cause: String(error) })
--- a/src/registry/RegistrySharer.ts
+++ b/src/registry/RegistrySharer.ts
@@ -9,7 +9,7 @@
 import type { EntryHostTable } from './EntryHostTable.js'
 import { CONFIRMATION_TIMEOUT_MILLISECONDS, PeerOutbox } from './PeerOutbox.js'
 import type { ControlHost } from './ControlHost.js'
-import type { ShareRegistryReply, ShareRegistryRequest } from './RegistryMessages.js'
+import { RegistryOrigin, type ShareRegistryReply, type ShareRegistryRequest } from './RegistryMessages.js'
 import type { UpstreamEntry } from './UpstreamEntry.js'
 import { isLeaving, type UpstreamRecord } from './UpstreamRecord.js'
 import type { UpstreamTable } from './UpstreamTable.js'
@@ -32,6 +32,8 @@
   majoritySize: () => number
   /** Resolves once all changes of the upstreams so far are durable at this control host. */
   persist: () => Promise<void>
+  /** @returns origin of the registry with which this host started */
+  firstOrigin: () => RegistryOrigin
   /** @returns whether an entry host reports to this control host directly; only such reports are passed on */
   hasLocalReport: (name: string) => boolean
   /** @returns address and location of this control host */
@@ -62,6 +64,7 @@
   readonly #outboxesByAddress = new Map<string, PeerOutbox>()
   #isRunning = false
   #isStopped = false
+  #hasMerged = false
 
   /** @param options - the tables to share, the peers and the transport */
   constructor (options: RegistrySharerOptions) {
@@ -70,6 +73,11 @@
     options.registerHandler(PeerMethod.FetchRegistry, () => this.#describeRegistry())
   }
 
+  /** Origin of the registry as it is now. */
+  get origin (): RegistryOrigin {
+    return this.#hasMerged ? RegistryOrigin.Merged : this.#options.firstOrigin()
+  }
+
   /** Sends the periodic messages and marks silent upstreams as lost, until {@link stop}. */
   async run (): Promise<void> {
     const { listPeers, isRemote } = this.#options
@@ -92,34 +100,57 @@
   /**
    * Merges the registries of the other control hosts: without them, a host that starts would mistake a late announcement for
    * a new upstream, and bring back one whose departure it had not heard of. What a majority holds is known once the
-   * registries of a majority are merged; the others are merged later.
+   * registries of a majority are merged; the others are merged later. Hosts that lost their disks don't count, this one
+   * included.
    */
   async fetchFromPeers (): Promise<void> {
-    const { listPeers, listVoters, majoritySize, isVoter, upstreams } = this.#options
+    const merged = this.#mergeMajority().then((isMerged) => { this.#hasMerged = isMerged })
+    await waitWithinDeadline(merged, performance.now() + MAXIMUM_FETCH_MILLISECONDS)
+    for (const { record } of this.#options.upstreams.list()) if (isLeaving(record)) this.#queueForPeers(record)
+  }
+
+  /** @returns whether the registries of a majority are merged */
+  async #mergeMajority (): Promise<boolean> {
+    const { listPeers, listVoters, majoritySize, isVoter, firstOrigin } = this.#options
     const voters = listVoters()
-    const neededVoters = Math.min(voters.length, majoritySize() - (isVoter() ? 1 : 0))
-    const fetches = listPeers().map((address) => this.#fetchFrom(address, voters.length > 0).then((isFetched) => isFetched && voters.includes(address)))
-    const majority = voters.length === 0 ? Promise.all(fetches) : waitForGrants(fetches, neededVoters)
-    await waitWithinDeadline<unknown>(majority, performance.now() + MAXIMUM_FETCH_MILLISECONDS)
-    for (const { record } of upstreams.list()) if (isLeaving(record)) this.#queueForPeers(record)
+    if (voters.length === 0) return await this.#mergeWithoutGroup(listPeers(), firstOrigin())
+    const neededVoters = Math.min(voters.length, majoritySize() - (isVoter() && firstOrigin() !== RegistryOrigin.Empty ? 1 : 0))
+    const fetches = listPeers().map((address) => this.#fetchUntil(address, (origin) => origin !== RegistryOrigin.Empty).then((isFetched) => isFetched && voters.includes(address)))
+    return await waitForGrants(fetches, neededVoters)
   }
 
-  /** @returns whether the registry was fetched; with retries, only the end of one of the two hosts ends the attempts */
-  async #fetchFrom (address: string, isRetried: boolean): Promise<boolean> {
-    const { callPeer, listPeers, log } = this.#options
+  /** A host without a log doesn't know the voters, so it relies on a host that has merged the registries of a majority. */
+  async #mergeWithoutGroup (peers: string[], firstOrigin: RegistryOrigin): Promise<boolean> {
+    const fetches = peers.map((address) => this.#fetchOnce(address))
+    const isMerged = firstOrigin === RegistryOrigin.Merged || await waitForGrants(peers.map((address) => this.#fetchUntil(address, (origin) => origin === RegistryOrigin.Merged)), Math.min(1, peers.length))
+    await Promise.all(fetches)
+    return isMerged
+  }
+
+  /** @returns whether a registry of the wanted origin was fetched; only the end of one of the two hosts ends the attempts */
+  async #fetchUntil (address: string, isWanted: (origin: RegistryOrigin) => boolean): Promise<boolean> {
+    const { listPeers } = this.#options
     for (let pauseMilliseconds = FETCH_RETRY_MILLISECONDS; ; pauseMilliseconds = Math.min(2 * pauseMilliseconds, MAXIMUM_FETCH_RETRY_MILLISECONDS)) {
-      try {
-        this.#merge(await callPeer<ShareRegistryRequest>(address, PeerMethod.FetchRegistry, {}, FETCH_TIMEOUT_MILLISECONDS))
-        return true
-      } catch (error) {
-        log.warn('registry-not-fetched', { step: Step.Registry, peer: address, cause: String(error) })
-      }
-      if (!isRetried) return false
+      const origin = await this.#fetchOnce(address)
+      if (origin !== undefined && isWanted(origin)) return true
       await pause(pauseMilliseconds)
       if (this.#isStopped || !listPeers().includes(address)) return false
     }
   }
 
+  /** @returns origin of the registry that was merged, undefined when the control host did not answer */
+  async #fetchOnce (address: string): Promise<RegistryOrigin | undefined> {
+    const { callPeer, log } = this.#options
+    try {
+      const registry = await callPeer<ShareRegistryRequest>(address, PeerMethod.FetchRegistry, {}, FETCH_TIMEOUT_MILLISECONDS)
+      this.#merge(registry)
+      return registry.origin ?? RegistryOrigin.Restored
+    } catch (error) {
+      log.warn('registry-not-fetched', { step: Step.Registry, peer: address, cause: String(error) })
+      return undefined
+    }
+  }
+
   #queueForPeers (record: UpstreamRecord): void {
     for (const address of this.#options.listPeers()) this.#getOutbox(address).addRecord(record)
   }
@@ -172,7 +203,7 @@
       const record = refreshColdMilliseconds(entry)
       return { record: { ...record, coldMilliseconds: record.coldMilliseconds + ageMilliseconds }, ageMilliseconds }
     })
-    return { sender: this.#options.describeSelf(), records, heard: [], entryHosts: this.#options.entryHosts.listWithAge(MAXIMUM_ENTRY_HOST_AGE_MILLISECONDS) }
+    return { origin: this.origin, sender: this.#options.describeSelf(), records, heard: [], entryHosts: this.#options.entryHosts.listWithAge(MAXIMUM_ENTRY_HOST_AGE_MILLISECONDS) }
   }
 
   /** Answers a message of another control host, which counts on each departure in it from then on. */
