Count a notice that arrived before its guest left

What callers saw: an upstream that said in an answer that it leaves, or asked for a pause, went on getting requests of a host if the guest of that answer left just then.

Cause: the connection was closed at once, with the head unread in the receive buffer.

Change: the connection of a request that was written and has no head yet is closed two turns of the event loop later, so that what has arrived is read first. Not written requests and answers under way are given up at once as before.

Evidence: `node scripts/test.mjs entry/upstreamNotices`, "the mark of an answer that has arrived when its guest leaves counts": red with the old AnswerCollector (11 passed, 1 failed), green with the new one. entry/guestLeaves and relay/ (the bound of half a second) are green, 121 tests with the former.

--- a/__tests__/entry/upstreamNotices.test.ts
+++ b/__tests__/entry/upstreamNotices.test.ts
@@ -56,6 +56,19 @@
   })
 }
 
+// Guards against a mark that is lost because the connection was closed for its guest before the answer on it was read.
+test('the mark of an answer that has arrived when its guest leaves counts', async (context) => {
+  const cancellation = new AbortController()
+  const fixture = await openFixture(context, (socket, attempt) => {
+    socket.write(addField(served, 'server-leaving: 1')(attempt))
+    cancellation.abort()
+  }, 1)
+  const record = describeFirst(fixture)
+  await fixture.relay.serve(createEntryRequest({}, { headers: [{ name: 'attempt-id', value: 'a-1' }], cancelled: cancellation.signal }))
+  assert.equal(fixture.first.received.length, 1)
+  assert.equal(fixture.known.isLeaving(record), true)
+})
+
 function describeFirst ({ known }: RelayFixture): UpstreamRecord {
   return known.upstreams.get('i-0')!.record
 }
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -20,7 +20,7 @@
   readonly #isStale: () => boolean
   readonly #finished: Promise<ExchangeFailure | undefined>
   readonly #timer: NodeJS.Timeout
-  readonly #onCancelled = () => { this.#abort(ExchangeFailure.Cancelled) }
+  readonly #onCancelled = () => { this.#cancel() }
   readonly #chunks: Buffer[] = []
   #resolve!: (answer: ExchangeAnswer) => void
   #reject!: (error: ExchangeError) => void
@@ -160,6 +160,16 @@
     return { status: this.#status, headers: this.#headers, body, endsWithConnection: this.#endsWithConnection, finished: this.#finished }
   }
 
+  /**
+   * Closes the connection of a request that is no longer wanted. A head that has arrived by now but was not read yet is read
+   * first, because it may tell something of the upstream: the event loop has read all of it two turns later.
+   */
+  #cancel (): void {
+    const mayHaveHead = this.#isWritten && this.#status === 0
+    if (!mayHaveHead) return this.#abort(ExchangeFailure.Cancelled)
+    setImmediate(() => { setImmediate(() => { this.#abort(ExchangeFailure.Cancelled) }) })
+  }
+
   #abort (failure: ExchangeFailure, reason: string = failure): void {
     if (this.#hasEnded || this.#failure !== undefined) return
     this.#failure = failure
