--- a/__tests__/platform/upstreamNotices.test.ts
+++ b/__tests__/platform/upstreamNotices.test.ts
@@ -1,17 +1,15 @@
 import assert from 'node:assert/strict'
-import { createServer, type Server } from 'node:http'
-import type { AddressInfo } from 'node:net'
 import { after, before, test } from 'node:test'
-import { setTimeout as sleep } from 'node:timers/promises'
 import { composePlan } from '../../examples/platform/composePlan.js'
 import { sendGuestRequest, sendPost, waitUntil } from '../../examples/platform/httpCalls.js'
 import { PlatformSystem } from '../../examples/platform/PlatformSystem.js'
 import { upstreamProtocol } from '../../platform/wire/upstreamProtocol.js'
 import { reserveNetwork, type ReservedNetwork } from '../scenarios/reserveNetwork.js'
+import { NoticingUpstream } from './NoticingUpstream.js'
+import { sendLoad, type LoadResult } from './sendLoad.js'
 
 const ENTRY_HOSTS = 3
 const UPSTREAMS = 6
-const SLOTS = 8
 const REQUEST_INTERVAL_MILLISECONDS = 25
 /** The shortest time in the users' deployments after which a leaving upstream must get no more requests. */
 const DRAIN_MILLISECONDS = 2_000
@@ -20,53 +18,10 @@
 const COUNTED_FROM_MILLISECONDS = 500
 const MAXIMUM_REQUESTS_IN_PAUSE = 2
 
-/** An upstream that announces itself as ready, whatever its answers say. */
-class NoticingUpstream {
-  /** Times of the requests of each entry host, by its number, which the number of the request gives. */
-  readonly arrivalsByHost = new Map<number, number[]>()
-  /** Fields of all answers. */
-  fields: Record<string, string> = {}
-  isRefusing = false
-  readonly #id: string
-  readonly #server: Server
-  #sequence = 0
-
-  constructor (id: string) {
-    this.#id = id
-    this.#server = createServer((request, response) => {
-      const host = Number(/\d+$/.exec(request.url ?? '')?.[0]) % ENTRY_HOSTS
-      this.arrivalsByHost.set(host, [...this.arrivalsByHost.get(host) ?? [], performance.now()])
-      const attempt = String(request.headers['attempt-id'])
-      const load = { 'attempt-id': attempt, 'server-load': `1,0,${SLOTS}`, ...this.fields }
-      if (this.isRefusing) response.writeHead(503, { ...load, 'not-executed': '1' }).end()
-      else setTimeout(() => { response.writeHead(200, { ...load, 'response-signature': 's' }).end('whole') }, 20)
-    })
-  }
-
-  async open (): Promise<void> {
-    await new Promise<void>((resolve) => { this.#server.listen(0, '127.0.0.1', resolve) })
-  }
-
-  close (): void {
-    this.#server.closeAllConnections()
-    this.#server.close()
-  }
-
-  async announce (controlAddress: string): Promise<void> {
-    const { port } = this.#server.address() as AddressInfo
-    await sendPost(controlAddress, `/instances/${this.#id}/heartbeat`, JSON.stringify({ service: 'inventario', address: `127.0.0.1:${port}`, zone: 'oviedo', version: 'v1', slots: SLOTS, state: 'ready', cold_remaining_s: 0, sequence: ++this.#sequence, born: 1_000 }))
-  }
-
-  /** @returns number of requests of each host between two times after its first one */
-  countAfterFirst (fromMilliseconds: number, toMilliseconds: number): number[] {
-    return [...this.arrivalsByHost.values()].map(([first, ...later]) => later.filter((time) => time - first! > fromMilliseconds && time - first! < toMilliseconds).length)
-  }
-}
-
 let network: ReservedNetwork
 let system: PlatformSystem
 let announcing: NodeJS.Timeout
-const upstreams = Array.from({ length: UPSTREAMS }, (_, number) => new NoticingUpstream(`i-${number}`))
+const upstreams = Array.from({ length: UPSTREAMS }, (_, number) => new NoticingUpstream({ id: `i-${number}`, entryHosts: ENTRY_HOSTS }))
 
 before(async () => {
   network = await reserveNetwork()
@@ -87,16 +42,8 @@
   network.release()
 })
 
-/** Sends requests through all entry hosts for a time; returns how many were served, and how many were sent. */
-async function sendLoad (name: string, milliseconds: number): Promise<{ served: number, sent: number }> {
-  const answers: Array<Promise<boolean>> = []
-  const deadline = performance.now() + milliseconds
-  for (let number = 0; performance.now() < deadline; number += 1) {
-    answers.push(sendGuestRequest(system.getGuestAddress(number % ENTRY_HOSTS), `/lookups/${name}-${number}`, `${name}-${number}`).then(({ status }) => status === 200, () => false))
-    await sleep(REQUEST_INTERVAL_MILLISECONDS)
-  }
-  const results = await Promise.all(answers)
-  return { served: results.filter(Boolean).length, sent: results.length }
+async function load (name: string, milliseconds: number): Promise<LoadResult> {
+  return await sendLoad({ system, entryHosts: ENTRY_HOSTS, name, intervalMilliseconds: REQUEST_INTERVAL_MILLISECONDS, milliseconds })
 }
 
 // Guards against requests at an upstream that says in its answers that it leaves, while its announcements say that it is ready.
@@ -104,7 +51,7 @@
   const leaving = upstreams[0]!
   leaving.arrivalsByHost.clear()
   leaving.fields = { 'server-leaving': '1' }
-  const { served, sent } = await sendLoad('leaving', 6_000)
+  const { served, sent } = await load('leaving', 6_000)
   const late = leaving.countAfterFirst(DRAIN_MILLISECONDS, Number.POSITIVE_INFINITY)
   context.diagnostic(`late by host: ${late.join(', ')}; ${served} of ${sent} served`)
   assert.ok(late.length > 0)
@@ -118,7 +65,7 @@
   paused.arrivalsByHost.clear()
   paused.fields = { 'retry-after': String(PAUSE_SECONDS) }
   paused.isRefusing = true
-  const { served, sent } = await sendLoad('paused', 1_000 * PAUSE_SECONDS)
+  const { served, sent } = await load('paused', 1_000 * PAUSE_SECONDS)
   const during = paused.countAfterFirst(COUNTED_FROM_MILLISECONDS, 1_000 * PAUSE_SECONDS)
   context.diagnostic(`in the pause by host: ${during.join(', ')}; ${served} of ${sent} served`)
   assert.ok(during.length > 0)
@@ -127,7 +74,7 @@
   paused.isRefusing = false
   paused.fields = {}
   paused.arrivalsByHost.clear()
-  await sendLoad('returned', 4_000)
+  await load('returned', 4_000)
   assert.equal(paused.arrivalsByHost.size > 0, true, 'it is used again')
 })
 
