--- /dev/null
+++ b/__tests__/soak/SoakUpstream.ts
@@ -0,0 +1,103 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { Arrival } from './SoakRecord.js'
+
+const ANNOUNCEMENT_MILLISECONDS = 1_500
+const ANSWER_MILLISECONDS = 1_000
+const SLOTS = 16
+
+/** Settings of a {@link SoakUpstream}. */
+export interface SoakUpstreamOptions {
+  id: string
+  service: string
+  domain: string
+  listControlAddresses: () => string[]
+  /** Receives each request that it runs. */
+  onArrival: (arrival: Arrival) => void
+}
+
+/** Upstream that announces itself to control hosts, and names its service in each answer. */
+export class SoakUpstream {
+  readonly #options: SoakUpstreamOptions
+  readonly #server = createServer((request, response) => { this.#answer(request, response) })
+  readonly #bornAt = Date.now()
+  #timer: NodeJS.Timeout | undefined
+  #sequence = 0
+  #state = 'ready'
+  #tries = 0
+  #isAnnouncing = false
+
+  /** @param options - identity, control hosts, and what to do with arrivals */
+  constructor (options: SoakUpstreamOptions) {
+    this.#options = options
+  }
+
+  /** Listens on a free port of 127.0.0.1, and begins to announce itself. */
+  async open (): Promise<void> {
+    await new Promise<void>((resolve) => { this.#server.listen(0, '127.0.0.1', resolve) })
+    this.#timer = setInterval(() => { this.#announceSomewhere().catch(() => {}) }, ANNOUNCEMENT_MILLISECONDS)
+  }
+
+  /**
+   * Announces that it leaves. It goes on to run requests until it is closed.
+   *
+   * @returns when the departure was acknowledged, undefined when it was not
+   */
+  async drain (): Promise<number | undefined> {
+    this.#state = 'draining'
+    return await this.#announceSomewhere() ? performance.now() : undefined
+  }
+
+  /** Ends it. */
+  close (): void {
+    clearInterval(this.#timer)
+    this.#server.closeAllConnections()
+    this.#server.close()
+  }
+
+  /** Announces itself to one control host after another until one has acknowledged it. */
+  async #announceSomewhere (): Promise<boolean> {
+    if (this.#isAnnouncing && this.#state === 'ready') return false
+    this.#isAnnouncing = true
+    const addresses = this.#options.listControlAddresses()
+    try {
+      for (let tries = 0; tries < addresses.length; tries += 1) {
+        if (await this.#announce(addresses[this.#tries % addresses.length]!)) return true
+        this.#tries += 1
+      }
+    } finally {
+      this.#isAnnouncing = false
+    }
+    return false
+  }
+
+  async #announce (address: string): Promise<boolean> {
+    const { id, service, domain } = this.#options
+    const { port } = this.#server.address() as AddressInfo
+    const body = { service, address: `127.0.0.1:${port}`, zone: domain, version: 'v1', slots: SLOTS, state: this.#state, cold_remaining_s: 0, sequence: ++this.#sequence, born: this.#bornAt }
+    try {
+      const response = await fetch(`http://${address}/instances/${id}/heartbeat`, { method: 'POST', body: JSON.stringify(body), signal: AbortSignal.timeout(ANSWER_MILLISECONDS) })
+      await response.arrayBuffer()
+      return response.status === 200
+    } catch {
+      // A control host that is down or frozen; the next one is asked.
+      return false
+    }
+  }
+
+  #answer (request: IncomingMessage, response: ServerResponse): void {
+    const { id, service, domain, onArrival } = this.#options
+    response.setHeader('Attempt-Id', String(request.headers['attempt-id']))
+    if (request.url === '/health') {
+      response.writeHead(this.#state === 'ready' ? 200 : 503, { 'Instance-Id': id, 'Server-Load': `0,0,${SLOTS}` }).end()
+      return
+    }
+    const expected = request.headers['expected-instance']
+    if (expected !== undefined && expected !== id) {
+      response.writeHead(421).end()
+      return
+    }
+    onArrival({ entryHost: Number(/\/by-(\d+)\//.exec(request.url ?? '')?.[1]), upstream: id, domain, arrivedAt: performance.now() })
+    response.writeHead(200, { 'Response-Signature': 'made-here', 'Server-Load': `1,0,${SLOTS}` }).end(service)
+  }
+}
--- /dev/null
+++ b/__tests__/soak/checks/PlanHistory.ts
@@ -0,0 +1,99 @@
+import { listHandlings } from '../SoakPlan.js'
+import type { Attempt, GuestObservation, PlanOrder, SoakRecord } from '../SoakRecord.js'
+
+/** Time from an acknowledgement until a plan is in force, in milliseconds. */
+export const APPLY_MILLISECONDS = 2_500
+/** Additional time while the control hosts are disturbed. */
+export const OUTER_MILLISECONDS = 6_000
+/** Time after a disturbance that still counts as disturbed. */
+export const CONTACT_MILLISECONDS = 4_000
+/** Time after more losses than tolerated until service is restored. */
+export const RECOVERY_MILLISECONDS = 15_000
+/** Losses at the same time that the system is to bear. A host counts as lost until it has had the time to catch up. */
+const TOLERATED_LOSSES = 2
+const CATCH_UP_MILLISECONDS = 4_000
+
+/** @returns when an order was first acknowledged, undefined when it never was */
+export function findAcknowledgement (attempts: readonly Attempt[]): number | undefined {
+  return attempts.find(({ status }) => status === 200)?.endedAt
+}
+
+/** @returns whether the first clear answer to an order refused it; a refusal after an acknowledgement is another matter */
+export function isRefused ({ attempts }: PlanOrder): boolean {
+  const status = attempts.find(({ status = 0 }) => status === 200 || isRefusal(status))?.status
+  return status !== undefined && isRefusal(status)
+}
+
+/** @returns whether a status says that an order will never be carried out */
+export function isRefusal (status: number): boolean {
+  return status >= 400 && status < 500 && status !== 408 && status !== 429
+}
+
+/** Which plans may be in force, from the orders of a run. */
+export class PlanHistory {
+  readonly record: SoakRecord
+  readonly #acknowledged: Array<{ version: number, at: number }>
+
+  /** @param record - what was seen in a run */
+  constructor (record: SoakRecord) {
+    this.record = record
+    this.#acknowledged = record.orders.flatMap((order) => {
+      const at = findAcknowledgement(order.attempts)
+      return at === undefined ? [] : [{ version: order.plan.version, at }]
+    })
+  }
+
+  /** @returns newest version that was acknowledged before a time, 0 without one */
+  findAcknowledgedVersion (before: number): number {
+    return Math.max(0, ...this.#acknowledged.filter(({ at }) => at < before).map(({ version }) => version))
+  }
+
+  /** @returns whether an order may be in force: it is valid, was not refused, and no other one on the same version was acknowledged */
+  isAllowed (order: PlanOrder): boolean {
+    if (!order.isValid || isRefused(order)) return false
+    return findAcknowledgement(order.attempts) !== undefined || !this.record.orders.some((other) => other !== order && other.plan.base === order.plan.base && findAcknowledgement(other.attempts) !== undefined)
+  }
+
+  /** @returns the versions, of allowed orders and 0 for none, whose plans handle a request as it was handled */
+  listPossibleVersions (observation: GuestObservation): number[] {
+    const fits = this.#listFitting(observation).filter((order) => order === undefined || this.isAllowed(order))
+    return fits.map((order) => order?.plan.version ?? 0)
+  }
+
+  /** @returns the orders that may not be in force and handle a request as it was handled */
+  listForbidden (observation: GuestObservation): PlanOrder[] {
+    return this.#listFitting(observation).filter((order): order is PlanOrder => order !== undefined && !this.isAllowed(order))
+  }
+
+  /** @returns whether a control host was disturbed in a time or shortly before it */
+  isCoreDisturbed (from: number, to: number): boolean {
+    return this.record.disturbances.some((each) => !each.host.startsWith('entry') && each.from < to && each.to > from - CONTACT_MILLISECONDS)
+  }
+
+  /** @returns whether an entry host was disturbed at a time or shortly before it */
+  isEntryDisturbed (entryHost: number, at: number): boolean {
+    return this.record.disturbances.some((each) => [`entry-${entryHost}`, 'machine'].includes(each.host) && each.from < at && each.to > at - CONTACT_MILLISECONDS)
+  }
+
+  /** @returns whether so many control hosts were lost at once in a time, or shortly before it, that service may be suspended */
+  isSuspended (from: number, to: number): boolean {
+    const core = this.record.disturbances.filter(({ host, from: begin, to: end }) => host.startsWith('control') && begin < to && end > from - RECOVERY_MILLISECONDS)
+    return core.some(({ from: at }) => new Set(core.filter((each) => each.from <= at && each.to + CATCH_UP_MILLISECONDS > at).map(({ host }) => host)).size > TOLERATED_LOSSES)
+  }
+
+  /** @returns newest version that must be in force at an entry host for a request sent at a time; 0 when none must be */
+  findRequiredVersion (entryHost: number, sentAt: number): number {
+    if (this.isEntryDisturbed(entryHost, sentAt)) return 0
+    const longest = APPLY_MILLISECONDS + OUTER_MILLISECONDS
+    if (this.isSuspended(sentAt - longest, sentAt)) return 0
+    const due = this.#acknowledged.filter(({ at }) => at + (this.isCoreDisturbed(at, sentAt) ? longest : APPLY_MILLISECONDS) < sentAt)
+    return Math.max(0, ...due.map(({ version }) => version))
+  }
+
+  /** Orders that handle a request as it was handled, and undefined for no plan at all. */
+  #listFitting (observation: GuestObservation): Array<PlanOrder | undefined> {
+    const { path, handling, answeredAt } = observation
+    const sent = this.record.orders.filter(({ attempts }) => (attempts[0]?.sentAt ?? Number.POSITIVE_INFINITY) <= answeredAt)
+    return [undefined, ...sent].filter((order) => handling !== undefined && listHandlings(order?.plan, path).includes(handling))
+  }
+}
--- /dev/null
+++ b/__tests__/soak/checks/checkRecord.ts
@@ -0,0 +1,18 @@
+import type { Breach, SoakRecord } from '../SoakRecord.js'
+import { checkEnd } from './checkEnd.js'
+import { checkForbidden } from './checkForbidden.js'
+import { checkInForce } from './checkInForce.js'
+import { checkNeverOlder } from './checkNeverOlder.js'
+import { checkOneWinner } from './checkOneWinner.js'
+import { checkReads } from './checkReads.js'
+import { checkResent } from './checkResent.js'
+import { checkServed } from './checkServed.js'
+import { PlanHistory } from './PlanHistory.js'
+
+const CHECKS = [checkInForce, checkNeverOlder, checkForbidden, checkOneWinner, checkServed, checkReads, checkEnd, checkResent]
+
+/** @returns all rules that a run broke, in the order of time */
+export function checkRecord (record: SoakRecord): Breach[] {
+  const history = new PlanHistory(record)
+  return CHECKS.flatMap((check) => check(history)).sort((left, right) => left.at - right.at)
+}
--- /dev/null
+++ b/__tests__/soak/runSoak.ts
@@ -0,0 +1,131 @@
+import { writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { reserveNetwork } from '../scenarios/reserveNetwork.js'
+import { checkRecord } from './checks/checkRecord.js'
+import { APPLY_MILLISECONDS, findAcknowledgement, RECOVERY_MILLISECONDS } from './checks/PlanHistory.js'
+import { Draw } from './Draw.js'
+import { drawFirstStep, drawLastStep, drawStep } from './drawFaults.js'
+import { SERVICES } from './drawPlan.js'
+import { FaultRunner } from './FaultRunner.js'
+import { LoadMeter } from './LoadMeter.js'
+import { SoakGuests } from './SoakGuests.js'
+import { SoakOperator } from './SoakOperator.js'
+import { createRecord, type Breach, type SoakRecord } from './SoakRecord.js'
+import { CONTROL_HOSTS, DOMAINS, SoakSystem } from './SoakSystem.js'
+import { SoakUpstream } from './SoakUpstream.js'
+
+const START_MILLISECONDS = 30_000
+const UPSTREAMS_PER_SERVICE = 2
+const POLL_MILLISECONDS = 200
+
+/** Length and size of a run. */
+export interface SoakOptions {
+  seed: number
+  /** Time during which faults are begun, in milliseconds. */
+  faultMilliseconds: number
+  entryHosts: number
+}
+
+/** What a run has shown. */
+export interface SoakResult {
+  seed: number
+  seconds: number
+  acknowledged: number
+  faults: number
+  slowSeconds: number
+  breaches: Breach[]
+  /** Lines that tell the course of the run. */
+  lines: string[]
+  /** Folder with logs, settings and the record; kept when a rule was broken. */
+  folder: string
+}
+
+/** Plays one run on real processes, and checks what clients and operators saw. */
+export async function runSoak ({ seed, faultMilliseconds, entryHosts }: SoakOptions): Promise<SoakResult> {
+  const startedAt = performance.now()
+  const record = createRecord()
+  const network = await reserveNetwork()
+  const system = new SoakSystem(network.number, entryHosts, record.disturbances)
+  const load = new LoadMeter(record.disturbances)
+  const operator = new SoakOperator(system, record, seed)
+  const guests = new SoakGuests(system, record, seed)
+  const upstreams = createUpstreams(system, record)
+  const lines: string[] = []
+  const runner = new FaultRunner(system, operator, (text) => { lines.push(`${formatSeconds(performance.now() - startedAt)} ${text}`) })
+  let breaches: Breach[] = []
+  try {
+    system.start()
+    await Promise.all(upstreams.map((upstream) => upstream.open()))
+    const firstAcknowledgement = operator.waitForAcknowledgement(START_MILLISECONDS)
+    const orders = operator.run()
+    const guestRequests = guests.run()
+    const draw = new Draw(seed, 3)
+    await firstAcknowledgement
+    if (findAcknowledgement(record.orders[0]!.attempts) === undefined) throw new Error(`no control host acknowledged the first plan within ${START_MILLISECONDS} ms`)
+    await playFaults(runner, draw, entryHosts, faultMilliseconds)
+    operator.stop()
+    await orders
+    await watchRecovery(system, guests, record)
+    guests.stop()
+    await guestRequests
+    breaches = checkRecord(record)
+  } finally {
+    load.stop()
+    for (const upstream of upstreams) upstream.close()
+    await system.stop(breaches.length > 0)
+    network.release()
+  }
+  for (const { check, at, detail } of breaches) lines.push(`${formatSeconds(at - startedAt)} BROKEN ${check}: ${detail}`)
+  if (breaches.length > 0) {
+    writeFileSync(join(system.folder, 'record.json'), JSON.stringify({ startedAt, ...record }))
+    writeFileSync(join(system.folder, 'course.txt'), `${lines.join('\n')}\n`)
+  }
+  const slow = record.disturbances.filter(({ host }) => host === 'machine').reduce((sum, { from, to }) => sum + to - from, 0)
+  const acknowledged = [...record.orders, ...record.evacuations].filter(({ attempts }) => attempts.some(({ status }) => status === 200)).length
+  return { seed, seconds: (performance.now() - startedAt) / 1_000, acknowledged, faults: runner.faultCount, slowSeconds: slow / 1_000, breaches, lines, folder: system.folder }
+}
+
+async function playFaults (runner: FaultRunner, draw: Draw, entryHosts: number, milliseconds: number): Promise<void> {
+  const deadline = performance.now() + milliseconds
+  await runner.play(drawFirstStep(draw, entryHosts))
+  while (performance.now() < deadline) await runner.play(drawStep(draw, entryHosts))
+  await runner.finish()
+  await runner.play(drawLastStep(draw))
+}
+
+/** Waits until the newest plan is read and all its routes are served at all entry hosts, or the time to recover has passed. */
+async function watchRecovery (system: SoakSystem, guests: SoakGuests, record: SoakRecord): Promise<void> {
+  record.allBackAt = performance.now()
+  const deadline = record.allBackAt + RECOVERY_MILLISECONDS
+  while (performance.now() < deadline && (performance.now() < record.allBackAt + APPLY_MILLISECONDS || countControlHostsRead(record) < CONTROL_HOSTS)) await sleep(POLL_MILLISECONDS)
+  const text = record.reads.findLast(({ status }) => status === 200)?.text
+  const routes = record.orders.find(({ body }) => body === text)?.plan.routes ?? []
+  record.finalRoutes = system.entryHosts.flatMap((_, entryHost) => routes.map(({ prefix }) => ({ entryHost, path: prefix, servedAt: undefined })))
+  await Promise.all(record.finalRoutes.map(async (route) => {
+    while (route.servedAt === undefined && performance.now() < deadline) {
+      const { handling, answeredAt } = await guests.send(route.entryHost, route.path)
+      if (handling !== undefined && SERVICES.includes(handling)) route.servedAt = answeredAt
+      else await sleep(POLL_MILLISECONDS)
+    }
+  }))
+}
+
+function countControlHostsRead ({ reads, allBackAt }: SoakRecord): number {
+  return new Set(reads.filter(({ sentAt, status }) => sentAt > allBackAt && status === 200).map(({ controlHost }) => controlHost)).size
+}
+
+function createUpstreams (system: SoakSystem, record: SoakRecord): SoakUpstream[] {
+  const listControlAddresses = (): string[] => system.controlHosts.map((_, number) => system.getControlAddress(number))
+  return SERVICES.flatMap((service, index) => Array.from({ length: UPSTREAMS_PER_SERVICE }, (_, number) => new SoakUpstream({
+    id: `${service}-${number}`,
+    service,
+    domain: DOMAINS[(index + 3 * number) % DOMAINS.length]!,
+    listControlAddresses,
+    onArrival: (arrival) => { record.arrivals.push(arrival) }
+  })))
+}
+
+function formatSeconds (milliseconds: number): string {
+  return (milliseconds / 1_000).toFixed(2).padStart(7)
+}
