Start, replace and trace control hosts one by one in cluster tests

The identities of replicas come from the seed of the cluster, so that a run can be repeated, and a host can be started without waiting for it, also at a new address.

--- a/__tests__/control/ControlCluster.ts
+++ b/__tests__/control/ControlCluster.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict'
+import crypto from 'node:crypto'
+import { syncBuiltinESMExports } from 'node:module'
 import type { TestContext } from 'node:test'
 import { ControlHostProcess } from '../../src/control/ControlHostProcess.js'
 import type { FollowRequest } from '../../src/follow/FollowMessages.js'
@@ -35,18 +37,23 @@
   readonly network = new MemoryNetwork()
   readonly hosts: ClusterControlHost[] = []
   readonly #context: TestContext
-  readonly #random = seededRandom(1)
+  /** Called for each log record of a control host, with the clock time in milliseconds. */
+  onRecord: (at: number, address: string, event: string, fields: object) => void = () => {}
+  readonly #random: () => number
   readonly #hostCount: number
+  #addressCount = 0
 
-  private constructor (context: TestContext, hostCount: number) {
+  private constructor (context: TestContext, hostCount: number, seed = 1) {
     this.#context = context
     this.#hostCount = hostCount
+    this.#random = seededRandom(seed)
     pauseClock(context)
+    seedIdentities(context, seededRandom(seed + 1))
   }
 
   /** @returns hosts that form a complete replica group and have accepted plan 1 */
-  static async start (context: TestContext, hostCount: number): Promise<ControlCluster> {
-    const cluster = new ControlCluster(context, hostCount)
+  static async start (context: TestContext, hostCount: number, seed = 1): Promise<ControlCluster> {
+    const cluster = new ControlCluster(context, hostCount, seed)
     await Promise.all(cluster.#createHosts().map((host) => cluster.#open(host)))
     await cluster.waitUntil(() => cluster.hosts.every(({ events }) => events.includes('replica-current')), 'all replicas are current')
     await cluster.waitUntil(() => cluster.hosts.every(({ process }) => process.voterCount === hostCount), 'all replicas vote')
@@ -70,21 +77,40 @@
 
   /** Starts killed hosts at the same time, with the files that they find. */
   async restart (hosts: readonly ClusterControlHost[], findFiles: (files: MemoryFiles) => MemoryFiles): Promise<ClusterControlHost[]> {
-    const restarted = hosts.map((host) => this.#createHost(this.hosts.indexOf(host), findFiles(host.files), false))
+    const restarted = hosts.map((host) => this.#createHost(this.hosts.indexOf(host), findFiles(host.files), false, host.address))
     await Promise.all(restarted.map((host) => this.#open(host)))
     return restarted
   }
 
+  /** Starts a killed host at its address again, and goes on at once. */
+  launch (host: ClusterControlHost, files: MemoryFiles, address = host.address): ClusterControlHost {
+    const launched = this.#createHost(this.hosts.indexOf(host), files, false, address)
+    launched.process.open().then(async () => { await launched.process.start() }).catch((error: unknown) => { launched.events.push(String(error)) })
+    return launched
+  }
+
+  /** Starts a new host, at an address that no host had and with an empty disk, in place of a killed one; goes on at once. */
+  launchReplacement (host: ClusterControlHost): ClusterControlHost {
+    this.#addressCount += 1
+    return this.launch(host, this.createDisk(), formatAddress(this.#addressCount))
+  }
+
+  /** @returns an empty disk */
+  createDisk (): MemoryFiles {
+    return new MemoryFiles(this.#random)
+  }
+
   async advance (milliseconds: number): Promise<void> {
     await advance(this.#context, milliseconds, STEP_MILLISECONDS)
   }
 
-  /** Advances the clock until a promise is settled. */
+  /** Advances the clock until a promise is settled; fails after a minute. */
   async waitFor<Result> (promise: Promise<Result>): Promise<Result> {
     const state = { isSettled: false }
     const settle = (): void => { state.isSettled = true }
     promise.then(settle, settle)
     for (let passed = 0; passed < LIMIT_MILLISECONDS && !state.isSettled; passed += STEP_MILLISECONDS) await this.advance(STEP_MILLISECONDS)
+    assert.ok(state.isSettled, 'settled within a minute')
     return await promise
   }
 
@@ -98,7 +124,8 @@
   }
 
   #createHosts (): ClusterControlHost[] {
-    const created = Array.from({ length: this.#hostCount }, (_, index) => this.#createHost(index, new MemoryFiles(this.#random), true))
+    const created = Array.from({ length: this.#hostCount }, (_, index) => this.#createHost(index, this.createDisk(), true, formatAddress(index + 1)))
+    this.#addressCount = this.#hostCount
     this.#context.after(() => { for (const host of this.hosts) this.kill(host) })
     return created
   }
@@ -108,11 +135,13 @@
     await this.waitFor(process.start())
   }
 
-  #createHost (index: number, files: MemoryFiles, isFirstStart: boolean): ClusterControlHost {
-    const address = `127.0.0.${index + 1}:7660`
-    const seeds = Array.from({ length: Math.min(SEED_COUNT, this.#hostCount) }, (_, seed) => `127.0.0.${seed + 1}:7660`)
+  #createHost (index: number, files: MemoryFiles, isFirstStart: boolean, address: string): ClusterControlHost {
+    const seeds = Array.from({ length: Math.min(SEED_COUNT, this.#hostCount) }, (_, seed) => formatAddress(seed + 1))
     const events: string[] = []
-    const record = (event: string): void => { events.push(event) }
+    const record = (event: string, fields: object): void => {
+      events.push(event)
+      this.onRecord(performance.now(), address, event, fields)
+    }
     const process = new ControlHostProcess({
       settings: () => ({ peerAddress: address, domain: `domain-${index}`, region: 'asturias', dataFolder: '/data', seeds, isFirstStart, wantedVoters: this.#hostCount, toleratedLosses: undefined, announcementMilliseconds: 1_500 }),
       ...this.network.addHost(address),
@@ -127,3 +156,18 @@
     return host
   }
 }
+
+function formatAddress (number: number): string {
+  return `127.0.0.${number}:7660`
+}
+
+/** Makes the identities of replicas depend on the seed only, for the duration of a test. */
+function seedIdentities (context: TestContext, random: () => number): void {
+  const pickDigits = (): string => Math.floor(random() * 2 ** 32).toString(16).padStart(8, '0')
+  context.mock.method(crypto, 'randomUUID', () => `${pickDigits()}-${pickDigits()}`)
+  syncBuiltinESMExports()
+  context.after(() => {
+    context.mock.restoreAll()
+    syncBuiltinESMExports()
+  })
+}
--- a/__tests__/support/LinkCuts.ts
+++ b/__tests__/support/LinkCuts.ts
@@ -7,6 +7,11 @@
     this.#cutLinks.add(`${from} ${to}`)
   }
 
+  /** Restores the link from one host to another. */
+  mend (from: string, to: string): void {
+    this.#cutLinks.delete(`${from} ${to}`)
+  }
+
   /** Partitions two groups of hosts from each other in both directions. */
   split (left: string[], right: string[]): void {
     for (const leftHost of left) {
