Let a restarted leader go on when it applies old memberships again

Callers saw: after a kill of all control hosts, some seconds more without an answer to reads and changes, with one leader after the other that stepped down 20 ms after its election. Cause: a restarted leader applies its log again once its first entry is committed. A membership in it from before this replica voted made it step down, as if it had been removed. Why it works: only the newest membership tells whether this replica was removed; a removal of itself is the newest one when it is applied, since no other change is taken before it is committed.

--- a/src/agreement/Leadership.ts
+++ b/src/agreement/Leadership.ts
@@ -119,12 +119,15 @@
     return this.#propose({ kind: EntryKind.Configuration, configuration })
   }
 
-  /** Settles the proposal of an applied entry; steps down after a committed membership without this replica. */
+  /**
+   * Settles the proposal of an applied entry; steps down after a committed membership without this replica. A leader that has
+   * just restarted applies older memberships again, which don't count: it may have become a voter after them.
+   */
   onEntryApplied (entry: LogEntry, result: unknown): void {
     this.#openProposals.get(entry.index)?.({ outcome: ProposalOutcome.Committed, index: entry.index, result })
-    if (entry.kind === EntryKind.Configuration && !isVoter(this.#core.appliedConfiguration, this.#core.identity)) {
-      this.#core.stepDownTo(ReplicaRole.Follower)
-    }
+    const { configuration, appliedConfiguration, identity } = this.#core
+    const isNewest = configuration === appliedConfiguration
+    if (entry.kind === EntryKind.Configuration && isNewest && !isVoter(configuration, identity)) this.#core.stepDownTo(ReplicaRole.Follower)
   }
 
   /** Ends the leadership; open proposals may still be committed by a later leader. */
