Leave no failed write of the log unhandled

Operators saw: unhandled-rejection in the log beside replica-stopped. Cause: a follower that waits for its vote to be durable leaves the wait when that write fails, and the write of the entries, which fails with it, has nobody who waits for it. Evidence: failedVote.test.ts, red before. Why it works: the storage reports the failure and stops the replica in any case.

--- a/src/agreement/AppendHandler.ts
+++ b/src/agreement/AppendHandler.ts
@@ -55,6 +55,8 @@
     const index = request.previous.index + request.entries.length
     const missingEntries = this.#listMissing(request.entries)
     const write = missingEntries.length === 0 ? undefined : core.append(missingEntries)
+    // The storage reports a failed write; it may fail before the wait for the vote below has ended, so that nothing waits for it yet.
+    write?.catch(() => {})
     // An entry that a majority holds is committed, even while the local disk has not written it yet.
     core.commitTo(Math.min(request.commitIndex, advancePosition(this.#matchedPosition, term, index)))
     await core.waitForDurableVote()
