Follow the control host with the newest plan while none is current

An entry host that is started with the control hosts, before they have a leader, says that it is ready with whatever plan the first of them recalls, and the one that lagged recalls an older one.

Cause: a search that found no current control host took the first that answered.

Why it works: the search has waited for all answers by then, and each names the version of its plan. A control host that does not answer entry hosts yet names none, so that it isn't chosen for it.

--- a/__tests__/follow/ControlFollower.test.ts
+++ b/__tests__/follow/ControlFollower.test.ts
@@ -134,3 +134,21 @@
     assert.equal(known.plan?.version, version)
   }
 })
+
+// Guards against an entry host that starts right after all control hosts were killed, and serves the older of the plans that they recall.
+test('a follower that finds no current control host follows the one with the newest plan', async (context) => {
+  pauseClock(context)
+  const network = new MemoryNetwork()
+  const older = new ControlHostFixture(network, 'older', [])
+  const newer = new ControlHostFixture(network, 'newer', [])
+  older.acceptPlan(1, 0)
+  newer.acceptPlan(2, 0)
+  older.isCurrent = false
+  newer.isCurrent = false
+  const known = new KnownState()
+  const follower = createFollower({ seeds: () => ['older', 'newer'], known, callPeer: network.addHost('entry').callPeer })
+  follower.run().catch(() => {})
+  context.after(() => { follower.stop() })
+  await advance(context, 500)
+  assert.equal(known.plan?.version, 2)
+})
--- a/src/follow/ControlFollower.ts
+++ b/src/follow/ControlFollower.ts
@@ -142,11 +142,14 @@
     return planVersion >= (this.#options.known.plan?.version ?? 0)
   }
 
-  /** @returns the address of a current control host, or else of one that answers, since it may have other updates */
+  /** @returns the address of a current control host, or else of the one that answers with the newest plan: it may have other updates, too */
   async #findControlHost (): Promise<string | undefined> {
-    const { agreeingAddress, answeringAddress } = await askWithHedging(this.#ranking.rank(), (address) => this.#askCurrency(address), HEDGING_DELAY_MILLISECONDS)
+    const answers: Array<{ address: string, planVersion: number }> = []
+    const ask = (address: string): Promise<boolean> => this.#askCurrency(address, ({ planVersion }) => { answers.push({ address, planVersion }) })
+    const agreeingAddress = await askWithHedging(this.#ranking.rank(), ask, HEDGING_DELAY_MILLISECONDS)
     this.#staleSince = performance.now()
-    return agreeingAddress ?? answeringAddress
+    const newestVersion = Math.max(...answers.map(({ planVersion }) => planVersion))
+    return agreeingAddress ?? answers.find(({ planVersion }) => planVersion === newestVersion)?.address
   }
 
   /** Searches for a better control host while the present one is followed, and switches only if one is found. */
@@ -154,14 +157,15 @@
     if (this.#isSearching || candidates.length === 0) return
     this.#isSearching = true
     askWithHedging(candidates, (address) => this.#askCurrency(address), HEDGING_DELAY_MILLISECONDS)
-      .then(({ agreeingAddress }) => { if (agreeingAddress !== undefined) this.#switchTo(agreeingAddress) })
+      .then((agreeingAddress) => { if (agreeingAddress !== undefined) this.#switchTo(agreeingAddress) })
       .finally(() => { this.#isSearching = false })
   }
 
-  async #askCurrency (address: string): Promise<boolean> {
+  async #askCurrency (address: string, onAnswer: (reply: CurrencyReply) => void = () => {}): Promise<boolean> {
     const { callPeer, log } = this.#options
     try {
       const reply = await callPeer<CurrencyReply>(address, PeerMethod.AskCurrency, {}, CURRENCY_TIMEOUT_MILLISECONDS)
+      onAnswer(reply)
       return reply.isCurrent && this.#isPlanCurrent(reply)
     } catch (error) {
       log.info('control-host-silent', { step: Step.Follow, peer: address, cause: String(error) })
--- a/src/follow/StateFeed.ts
+++ b/src/follow/StateFeed.ts
@@ -69,7 +69,8 @@
 
   #describeCurrency (): CurrencyReply {
     const { plans, isCurrent } = this.#options
-    return { isCurrent: this.#isOpen && isCurrent(), planVersion: plans.plan?.version ?? 0 }
+    if (!this.#isOpen) return { isCurrent: false, planVersion: 0 }
+    return { isCurrent: isCurrent(), planVersion: plans.plan?.version ?? 0 }
   }
 
   async #handleFollow (request: FollowRequest): Promise<FollowReply> {
