--- a/__tests__/platform/planForms.test.ts
+++ b/__tests__/platform/planForms.test.ts
@@ -15,6 +15,7 @@
 }
 
 const MANY_ROUTES = 10_000
+const NESTING_DEPTH = 200_000
 const ROUTE: Fields = { name: 'r', host: 'a.example', path_prefix: '/a/', route_type: 'idempotent', timeout_s: 1, target_latency_s: 0.4, priority: 1, service: 's', max_attempts: 2, sticky: true, home_regions: [], traffic_split: null }
 const SERVICE: Fields = { name: 's', health_path: '/health', max_connections: 660, protocol: 'h1', tls: false, cold_start_s: 3, cold_per_s: 4.9 }
 const OTHER_SERVICE = { ...SERVICE, name: 't' }
@@ -129,6 +130,8 @@
   ['a list', '[]'],
   ['two documents', soundText + soundText],
   ['a number without bounds', soundText.replace(',0.4,', ',1e999,')],
+  // Guards against a body that ends in an exception instead of a refusal.
+  ['deep nesting', soundText.replace(/}$/, `,"note":${'['.repeat(NESTING_DEPTH)}${']'.repeat(NESTING_DEPTH)}}`)]
 ]
 
 for (const [name, text] of unreadable) {
