--- a/__tests__/platform/planForms.test.ts
+++ b/__tests__/platform/planForms.test.ts
@@ -74,7 +74,9 @@
   ['prefixes within each other, and the same one on two hosts', composeRoutes({}, { path_prefix: '/a/b/' }, { path_prefix: '/' }, { host: 'b.example' })],
   ['the name of a route twice', composeRoutes({}, { path_prefix: '/b/' })],
   ['the largest version', composeDocument({ version: 'ffffffff', base_version: 'fffffffe' })],
+  ['a version with capital digits', composeDocument({ version: '0000ABCD' })],
   ['no base', composeDocument({ base_version: undefined })],
+  ['null as the base', composeDocument({ base_version: null })],
   ['the first base', composeDocument({ base_version: '00000000' })],
   ['one attempt', composeRoutes({ max_attempts: 1 })],
   ['very many routes', composeRoutes(...Array.from({ length: MANY_ROUTES }, (_, number) => ({ name: `r-${number}`, path_prefix: `/${number}/` })))]
