Accept a plan that lists a service twice

Callers saw: nothing known; found with a table of valid and invalid plans.

Evidence: planForms.test.ts, "a plan with a service twice is accepted": refused before with duplicate-service, accepted after.

Why it works: every host reads the list in the same order and keeps the last entry of a name, also from a delta, which carries all services.

--- a/src/plan/PlanFault.ts
+++ b/src/plan/PlanFault.ts
@@ -6,8 +6,7 @@
   NoWeight = 'no-weight',
   NoAttempts = 'no-attempts',
   BadPrefix = 'bad-prefix',
-  BadTimeout = 'bad-timeout',
-  DuplicateService = 'duplicate-service'
+  BadTimeout = 'bad-timeout'
 }
 
 /** One fault of a routing plan. */
