--- a/__tests__/platform/oddAnnouncements.test.ts
+++ b/__tests__/platform/oddAnnouncements.test.ts
@@ -62,3 +62,16 @@
   await upstream.announce(system.getControlAddress(1))
   for (let number = 0; number < 30; number += 1) assert.equal((await sendGuestRequest(system.guestAddress, `/lookups/${number}`, `a-${number}`)).status, 200)
 }
+
+// Guards against a plan that is stored with other bytes than were sent.
+test('a plan that is not UTF-8 is refused, and the plan in force is read unchanged', { timeout: 30_000 }, async () => {
+  const plan = Buffer.from(composePlan('00000003', '00000002'))
+  plan[plan.indexOf('lookups')] = 0xff
+  for (let number = 0; number < 3; number += 1) {
+    const response = await fetch(`http://${system.getControlAddress(number)}/config/replace`, { method: 'POST', body: plan })
+    assert.equal(response.status, 400)
+  }
+  await expectService()
+  const read = await fetch(`http://${system.getControlAddress(1)}/config/fetch`)
+  assert.equal(await read.text(), composePlan('00000002', '00000000'))
+})
