--- a/__tests__/platform/planForms.test.ts
+++ b/__tests__/platform/planForms.test.ts
@@ -79,7 +79,6 @@
   ['null as the base', composeDocument({ base_version: null })],
   ['the first base', composeDocument({ base_version: '00000000' })],
   ['one attempt', composeRoutes({ max_attempts: 1 })],
-  ['a service twice', composeDocument({ services: composeTable([SERVICE, SERVICE]) })],
   ['very many routes', composeRoutes(...Array.from({ length: MANY_ROUTES }, (_, number) => ({ name: `r-${number}`, path_prefix: `/${number}/` })))]
 ]
 
--- a/src/plan/PlanFault.ts
+++ b/src/plan/PlanFault.ts
@@ -6,7 +6,8 @@
   NoWeight = 'no-weight',
   NoAttempts = 'no-attempts',
   BadPrefix = 'bad-prefix',
-  BadTimeout = 'bad-timeout'
+  BadTimeout = 'bad-timeout',
+  DuplicateService = 'duplicate-service'
 }
 
 /** One fault of a routing plan. */
--- a/src/plan/RoutingPlan.ts
+++ b/src/plan/RoutingPlan.ts
@@ -55,7 +55,6 @@
 export interface RoutingPlan {
   version: number
   routes: PlanRoute[]
-  /** Of several with one name the last counts. */
   services: PlanService[]
   limits: ListenerLimits
 }
--- a/src/plan/checkPlan.ts
+++ b/src/plan/checkPlan.ts
@@ -11,6 +11,7 @@
 export function checkPlan (plan: RoutingPlan): PlanFault[] {
   const serviceNames = new Set(plan.services.map(({ name }) => name))
   return [
+    ...listDuplicates(plan.services.map(({ name }) => name)).map((name) => ({ problem: PlanProblem.DuplicateService, name, value: name })),
     ...listDuplicates(plan.routes.map(formatRouteKey)).map((routeKey) => ({ problem: PlanProblem.DuplicateRoute, name: routeKey, value: routeKey })),
     ...plan.routes.flatMap((route) => checkRoute(route, serviceNames))
   ]
