Store a loss at a control host before its request is answered

An entry host that records a loss now waits until the control host that it follows has stored it, 250 ms at most, before it answers the request or sends it again. Knowledge is shared at once as before, by calls of their own that don't wait for disks. A control host that fails to store, that has an earlier version, or that is not known delays nothing. Only requests in flight at an upstream that ended wait. Those that are sent again wait as long for the permit of their next run anyway.

--- a/__tests__/crashes/CrashSharer.test.ts
+++ b/__tests__/crashes/CrashSharer.test.ts
@@ -29,6 +29,7 @@
         return await this.#handlers.get(`${address} ${method}`)!(request) as Result
       },
       registerHandler: (method, handler) => { this.#handlers.set(`${name} ${method}`, handler as PeerHandler<object, unknown>) },
+      persist: async () => {},
       onChange: () => {},
       log: silentLog
     })
--- a/__tests__/entry/CrashDetector.test.ts
+++ b/__tests__/entry/CrashDetector.test.ts
@@ -19,7 +19,7 @@
   const record = createUpstreamRecord()
   known.merge(createFollowReply({ upstreams: [{ record, isLost: false }] }))
   let probes = 0
-  const detector = new CrashDetector({ runs, crashes, known, probe: async () => states[Math.min(probes++, states.length - 1)]!, onChange: () => {}, log: silentLog })
+  const detector = new CrashDetector({ runs, crashes, known, probe: async () => states[Math.min(probes++, states.length - 1)]!, onChange: () => {}, saveLosses: async () => {}, log: silentLog })
   runs.begin('f', record)
   return { detector, crashes, known, runs, record }
 }
--- a/__tests__/support/createSender.ts
+++ b/__tests__/support/createSender.ts
@@ -25,7 +25,7 @@
 export function createSender (options: Pick<UpstreamSenderOptions, 'known' | 'loads' | 'connections' | 'protocol' | 'answerBufferBytes'> & Pick<CrashDetectorOptions, 'probe'>): SenderParts {
   const runs = new UpstreamRuns()
   const crashes = new CrashTable()
-  const detector = new CrashDetector({ runs, crashes, known: options.known, probe: options.probe, onChange: () => {}, log: silentLog })
+  const detector = new CrashDetector({ runs, crashes, known: options.known, probe: options.probe, onChange: () => {}, saveLosses: async () => {}, log: silentLog })
   const gate = new SuspectGate({ crashes, detector, listControlHosts: () => ['control'], callPeer: createPermitCalls(), log: silentLog })
   const notices = new UpstreamNotices({ hostName: 'entry-1', known: options.known, loads: options.loads, onLeaving: () => {}, counters: new Counters(), log: silentLog })
   const sender = new UpstreamSender({ ...options, notices, runs, crashes, detector, onExcuse: () => {}, stopWindow: new StopWindow(), log: silentLog })
--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -174,6 +174,7 @@
       listPeers: () => this.#controlHosts.listPeers(),
       callPeer,
       registerHandler,
+      persist: () => this.#recoveryFile.flush(),
       onChange: () => { this.#publishChange() },
       log
     })
--- a/src/crashes/CrashExchange.ts
+++ b/src/crashes/CrashExchange.ts
@@ -15,6 +15,8 @@
   listPeers: () => string[]
   callPeer: CallPeer
   registerHandler: RegisterPeerHandler
+  /** Waits until all changes so far are durable at this host. */
+  persist: () => Promise<void>
   /** Called when something changed that entry hosts need to know. */
   onChange: () => void
   log: Log
@@ -34,6 +36,11 @@
     const desk = new SuspectDesk({ crashes: this.table, onChange: () => { this.#publish() } })
     registerHandler(PeerMethod.SuspectPermit, (request: Parameters<SuspectDesk['answer']>[0]) => desk.answer(request))
     registerHandler(PeerMethod.ReportCrashes, (request: ReportCrashesRequest) => this.#merge(request))
+    registerHandler(PeerMethod.SaveCrashes, async (request: ReportCrashesRequest) => {
+      const answer = this.#merge(request)
+      await options.persist()
+      return answer
+    })
   }
 
   /** Begins to send again what other control hosts have not confirmed. */
--- a/src/crashes/CrashSharer.ts
+++ b/src/crashes/CrashSharer.ts
@@ -2,6 +2,7 @@
 import type { CallPeer } from '../transport/CallPeer.js'
 import { PeerMethod } from '../types/PeerMethod.js'
 import { Step } from '../types/Step.js'
+import { waitWithinDeadline } from '../utils/waitWithinDeadline.js'
 import type { CrashReport } from './CrashReport.js'
 import type { CrashTable } from './CrashTable.js'
 
@@ -11,6 +12,8 @@
 const RESEND_INTERVAL_MILLISECONDS = 250
 /** Changes within this time are sent together: the end of one upstream concerns several requests. */
 const BATCH_DELAY_MILLISECONDS = 5
+/** Maximum wait for a stored change: a request under which an upstream ended waits as long for the permit of its next run. */
+const MAXIMUM_SAVE_MILLISECONDS = 250
 
 /** Dependencies of {@link CrashSharer}. */
 export interface CrashSharerOptions {
@@ -60,6 +63,25 @@
     }, BATCH_DELAY_MILLISECONDS)
   }
 
+  /**
+   * Sends what changed and waits until the hosts have stored it, {@link MAXIMUM_SAVE_MILLISECONDS} at most. A failure is
+   * only logged, as {@link share} sends changes until they are confirmed.
+   *
+   * @param revision - revision of the crash table before the change
+   */
+  async save (revision: number): Promise<void> {
+    const { crashes, hostName, listPeers, callPeer, log } = this.#options
+    const request: ReportCrashesRequest = { hostName: hostName(), report: crashes.changedSince(revision) }
+    await Promise.all(listPeers().map(async (address) => {
+      try {
+        const saved = callPeer(address, PeerMethod.SaveCrashes, request, MAXIMUM_SAVE_MILLISECONDS)
+        await waitWithinDeadline(saved, performance.now() + MAXIMUM_SAVE_MILLISECONDS)
+      } catch (error) {
+        log.info('crashes-not-saved', { step: Step.Follow, peer: address, cause: String(error) })
+      }
+    }))
+  }
+
   /** Sends everything again to a host that was started again and knows nothing of what it confirmed. */
   forgetConfirmations (address: string): void {
     this.#confirmedRevisionByAddress.delete(address)
--- a/src/entry/CrashDetector.ts
+++ b/src/entry/CrashDetector.ts
@@ -33,6 +33,8 @@
   probe?: (address: string) => Promise<ListenerState>
   /** Called after the crash table changed here. */
   onChange: () => void
+  /** Waits for a limited time until a control host has stored what changed in the crash table after a revision. */
+  saveLosses: (revision: number) => Promise<void>
   log: Log
 }
 
@@ -40,6 +42,7 @@
 export class CrashDetector {
   readonly #options: CrashDetectorOptions
   readonly #checksByIncarnation = new Map<string, Promise<void>>()
+  readonly #savesByIncarnation = new Map<string, Promise<void>>()
   readonly #aliveAt = new RecentMap<number>(MINIMUM_REMEMBERED_UPSTREAMS)
   readonly #ended = new RecentMap<boolean>(MINIMUM_REMEMBERED_UPSTREAMS)
   #reviewTimer: NodeJS.Timeout | undefined
@@ -51,13 +54,15 @@
 
   /**
    * Finds out whether an upstream has ended, and records the loss for its runs without a whole answer.
-   * Concurrent calls for the same upstream share one check.
+   * Concurrent calls for the same upstream share one check. Returns when a recorded loss is stored, or the wait for that is over.
    */
   async checkUpstream (record: UpstreamRecord): Promise<void> {
     const incarnation = getIncarnation(record)
     const check = this.#checksByIncarnation.get(incarnation) ?? this.#checkOnce(record, incarnation).finally(() => { this.#checksByIncarnation.delete(incarnation) })
     this.#checksByIncarnation.set(incarnation, check)
     await check
+    // Not a part of the check, as runs that break meanwhile need one of their own.
+    await this.#savesByIncarnation.get(incarnation)
   }
 
   /** Checks the upstreams of copies in flight, so that a request does not end a second upstream while the first one is silent. */
@@ -139,7 +144,7 @@
   }
 
   #recordEnd (record: UpstreamRecord, incarnation: string): void {
-    const { runs, crashes, known, onChange, log } = this.#options
+    const { runs, crashes, known, onChange, saveLosses, log } = this.#options
     if ((known.isLeaving(record) || isLeaving(known.upstreams.get(record.id)?.record, record.bornAt)) && !known.upstreams.isReplaced(record)) return
     this.#ended.set(incarnation, true)
     const fingerprints = runs.listFingerprints(incarnation)
@@ -148,6 +153,8 @@
     if (crashes.revision === revision) return
     log.warn('upstream-died', { step: Step.Dispatch, peer: record.address, upstream: incarnation, contents: [...fingerprints].map(abbreviateFingerprint).join(',') })
     onChange()
+    const save = saveLosses(revision).finally(() => { if (this.#savesByIncarnation.get(incarnation) === save) this.#savesByIncarnation.delete(incarnation) })
+    this.#savesByIncarnation.set(incarnation, save)
     this.review()
   }
 }
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -99,7 +99,7 @@
     this.#eventLoopMonitor = new EventLoopMonitor(options.log, options.counters)
     this.#follower = this.#createFollower()
     this.#crashSharer = this.#createCrashSharer()
-    this.#crashDetector = new CrashDetector({ runs: this.#runs, crashes: this.#crashes, known: this.#known, onChange: () => { this.#crashSharer.share() }, log: options.log })
+    this.#crashDetector = new CrashDetector({ runs: this.#runs, crashes: this.#crashes, known: this.#known, onChange: () => { this.#crashSharer.share() }, saveLosses: (revision) => this.#crashSharer.save(revision), log: options.log })
     const guestListener = new GuestListener({ ...options, known: this.#known, relay: this.#createRelay(), stopWindow: this.#stopWindow, bodyBytes: new HeldAmount(MAXIMUM_BODY_BYTES) })
     this.#listener = new HttpListener({
       address: options.settings().guestAddress,
--- a/src/types/PeerMethod.ts
+++ b/src/types/PeerMethod.ts
@@ -29,6 +29,8 @@
   AskCurrency = 'control.ask-currency',
   /** Reports requests under which upstreams ended. */
   ReportCrashes = 'control.report-crashes',
+  /** Reports requests under which upstreams ended, and waits until a control host has stored them. */
+  SaveCrashes = 'control.save-crashes',
   ShareRegistry = 'control.share-registry',
   FetchRegistry = 'control.fetch-registry'
 }
