Leave 100 ms for starts on their way while hosts catch up

Permits stay within the cap in any second, but starts of a host that catches up were closer to it than those of others, and reach the upstreams with different delays. The window is 1.1 s now, so that a host that catches up dispatches hardly faster, over a second, than one that did not stall.

It costs some of what is caught up.

--- a/src/limits/TokenBucket.ts
+++ b/src/limits/TokenBucket.ts
@@ -3,7 +3,7 @@
 const BURST_SECONDS = 0.1
 const MINIMUM_REFILL_FRACTION = 0.5
 /** Longer than a second, so that spends that take effect with different delays still keep the rate where they are counted. */
-export const WINDOW_MILLISECONDS = 1_050
+export const WINDOW_MILLISECONDS = 1_100
 
 /**
  * Limits spending to a rate. At most the rate is spent within any second, burst included, as long as the rate is
