--- a/__tests__/soak/SoakOperator.ts
+++ b/__tests__/soak/SoakOperator.ts
@@ -6,6 +6,7 @@
 import type { Attempt, EvacuationOrder, PlanOrder, SoakRecord } from './SoakRecord.js'
 import { sendOrder } from './sendOrder.js'
 import { CONTROL_HOSTS, DOMAINS, type SoakSystem } from './SoakSystem.js'
+import { Leave, type SoakUpstream } from './SoakUpstream.js'
 
 const ANSWER_MILLISECONDS = 1_000
 const RETRY_MILLISECONDS = 100
@@ -19,15 +20,17 @@
   Race = 'race',
   Invalid = 'invalid',
   Resend = 'resend',
-  Evacuate = 'evacuate'
+  Evacuate = 'evacuate',
+  Leave = 'leave'
 }
 
-const STEP_WEIGHTS: ReadonlyArray<readonly [Step, number]> = [[Step.Change, 10], [Step.Race, 3], [Step.Invalid, 2], [Step.Resend, 3], [Step.Evacuate, 2]]
+const STEP_WEIGHTS: ReadonlyArray<readonly [Step, number]> = [[Step.Change, 10], [Step.Race, 3], [Step.Invalid, 2], [Step.Resend, 3], [Step.Evacuate, 2], [Step.Leave, 2]]
 
 /** Sends a stream of changes to control hosts, one after another, and each again until it has a clear answer. Emits `acknowledged`. */
 export class SoakOperator extends EventEmitter {
   readonly #system: SoakSystem
   readonly #record: SoakRecord
+  readonly #upstreams: readonly SoakUpstream[]
   readonly #draw: Draw
   #current: PlanOrder | undefined
   #evacuated: string | undefined
@@ -36,10 +39,12 @@
   /**
    * @param system - the control hosts
    * @param record - receives the orders
+   * @param upstreams - upstreams that it lets leave
    * @param seed - seed of the run
    */
-  constructor (system: SoakSystem, record: SoakRecord, seed: number) {
+  constructor (system: SoakSystem, record: SoakRecord, upstreams: readonly SoakUpstream[], seed: number) {
     super()
+    this.#upstreams = upstreams
     this.#system = system
     this.#record = record
     this.#draw = new Draw(seed, 1)
@@ -72,6 +77,7 @@
       case Step.Invalid: return await this.#submit(drawFault(this.#draw, drawChange(this.#draw, current.plan)), false)
       case Step.Resend: return await this.#trySending(current)
       case Step.Evacuate: return await this.#evacuate()
+      case Step.Leave: return await this.#letLeave()
       case Step.Race: {
         const rivals = [drawChange(this.#draw, current.plan), drawChange(this.#draw, current.plan)]
         await Promise.all(rivals.map((plan) => this.#submit(plan, true)))
@@ -103,6 +109,13 @@
     this.#evacuated = isEvacuated ? domain : undefined
   }
 
+  async #letLeave (): Promise<void> {
+    const departure = await this.#draw.pick(this.#upstreams).leave(this.#draw.pick(Object.values(Leave)))
+    if (departure === undefined) return
+    this.#record.departures.push(departure)
+    this.emit('acknowledged')
+  }
+
   async #sendUntilClear (path: string, body: string, attempts: Attempt[]): Promise<void> {
     const deadline = performance.now() + GIVE_UP_MILLISECONDS
     while (performance.now() < deadline) {
--- a/__tests__/soak/SoakUpstream.ts
+++ b/__tests__/soak/SoakUpstream.ts
@@ -1,10 +1,18 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import type { Arrival } from './SoakRecord.js'
+import type { Arrival, Departure } from './SoakRecord.js'
 
 const ANNOUNCEMENT_MILLISECONDS = 1_500
 const ANSWER_MILLISECONDS = 1_000
 const SLOTS = 16
+/** How long it goes on to run requests after it began to leave; the next life follows, with another identifier. */
+const LEAVING_MILLISECONDS = 10_000
+
+/** How an upstream says that it leaves. */
+export enum Leave {
+  Drain = 'drain',
+  Deregister = 'deregister'
+}
 
 /** Settings of a {@link SoakUpstream}. */
 export interface SoakUpstreamOptions {
@@ -20,10 +28,11 @@
 export class SoakUpstream {
   readonly #options: SoakUpstreamOptions
   readonly #server = createServer((request, response) => { this.#answer(request, response) })
-  readonly #bornAt = Date.now()
+  #bornAt = Date.now()
+  #life = 1
   #timer: NodeJS.Timeout | undefined
   #sequence = 0
-  #state = 'ready'
+  #state: 'ready' | Leave = 'ready'
   #tries = 0
   #isAnnouncing = false
 
@@ -35,17 +44,20 @@
   /** Listens on a free port of 127.0.0.1, and begins to announce itself. */
   async open (): Promise<void> {
     await new Promise<void>((resolve) => { this.#server.listen(0, '127.0.0.1', resolve) })
-    this.#timer = setInterval(() => { this.#announceSomewhere().catch(() => {}) }, ANNOUNCEMENT_MILLISECONDS)
+    this.#timer = setInterval(() => { if (this.#state !== Leave.Deregister) this.#announceSomewhere().catch(() => {}) }, ANNOUNCEMENT_MILLISECONDS)
   }
 
   /**
-   * Announces that it leaves. It goes on to run requests until it is closed.
+   * Tells a control host that it leaves. It goes on to run requests for a time.
    *
-   * @returns when the departure was acknowledged, undefined when it was not
+   * @returns the departure once it is acknowledged; undefined when it leaves already, or no control host has answered
    */
-  async drain (): Promise<number | undefined> {
-    this.#state = 'draining'
-    return await this.#announceSomewhere() ? performance.now() : undefined
+  async leave (leave: Leave): Promise<Departure | undefined> {
+    if (this.#state !== 'ready') return undefined
+    this.#state = leave
+    setTimeout(() => { this.#beginLife() }, LEAVING_MILLISECONDS).unref()
+    const upstream = this.#id
+    return await this.#announceSomewhere() ? { upstream, acknowledgedAt: performance.now() } : undefined
   }
 
   /** Ends it. */
@@ -55,13 +67,26 @@
     this.#server.close()
   }
 
+  get #id (): string {
+    return `${this.#options.id}-${this.#life}`
+  }
+
+  #beginLife (): void {
+    this.#life += 1
+    this.#bornAt = Date.now()
+    this.#sequence = 0
+    this.#state = 'ready'
+  }
+
   /** Announces itself to one control host after another until one has acknowledged it. */
   async #announceSomewhere (): Promise<boolean> {
     if (this.#isAnnouncing && this.#state === 'ready') return false
     this.#isAnnouncing = true
+    const life = this.#life
     const addresses = this.#options.listControlAddresses()
     try {
       for (let tries = 0; tries < addresses.length; tries += 1) {
+        if (this.#life !== life) return false
         if (await this.#announce(addresses[this.#tries % addresses.length]!)) return true
         this.#tries += 1
       }
@@ -72,11 +97,12 @@
   }
 
   async #announce (address: string): Promise<boolean> {
-    const { id, service, domain } = this.#options
+    const { service, domain } = this.#options
     const { port } = this.#server.address() as AddressInfo
-    const body = { service, address: `127.0.0.1:${port}`, zone: domain, version: 'v1', slots: SLOTS, state: this.#state, cold_remaining_s: 0, sequence: ++this.#sequence, born: this.#bornAt }
+    const body = { service, address: `127.0.0.1:${port}`, zone: domain, version: 'v1', slots: SLOTS, state: this.#state === 'ready' ? 'ready' : 'draining', cold_remaining_s: 0, sequence: ++this.#sequence, born: this.#bornAt }
     try {
-      const response = await fetch(`http://${address}/instances/${id}/heartbeat`, { method: 'POST', body: JSON.stringify(body), signal: AbortSignal.timeout(ANSWER_MILLISECONDS) })
+      const action = this.#state === Leave.Deregister ? 'deregister' : 'heartbeat'
+      const response = await fetch(`http://${address}/instances/${this.#id}/${action}`, { method: 'POST', body: JSON.stringify(body), signal: AbortSignal.timeout(ANSWER_MILLISECONDS) })
       await response.arrayBuffer()
       return response.status === 200
     } catch {
@@ -86,7 +112,8 @@
   }
 
   #answer (request: IncomingMessage, response: ServerResponse): void {
-    const { id, service, domain, onArrival } = this.#options
+    const { service, domain, onArrival } = this.#options
+    const id = this.#id
     response.setHeader('Attempt-Id', String(request.headers['attempt-id']))
     if (request.url === '/health') {
       response.writeHead(this.#state === 'ready' ? 200 : 503, { 'Instance-Id': id, 'Server-Load': `0,0,${SLOTS}` }).end()
--- a/__tests__/soak/checks/PlanHistory.ts
+++ b/__tests__/soak/checks/PlanHistory.ts
@@ -76,11 +76,16 @@
   }
 
   /** @returns whether so many control hosts were lost at once in a time, or shortly before it, that service may be suspended */
-  isSuspended (from: number, to: number): boolean {
-    const core = this.record.disturbances.filter(({ host, from: begin, to: end }) => host.startsWith('control') && begin < to && end > from - RECOVERY_MILLISECONDS)
+  isSuspended (from: number, to: number, recoveryMilliseconds = RECOVERY_MILLISECONDS): boolean {
+    const core = this.record.disturbances.filter(({ host, from: begin, to: end }) => host.startsWith('control') && begin < to && end > from - recoveryMilliseconds)
     return core.some(({ from: at }) => new Set(core.filter((each) => each.from <= at && each.to + CATCH_UP_MILLISECONDS > at).map(({ host }) => host)).size > TOLERATED_LOSSES)
   }
 
+  /** @returns whether bounds in time hold at an entry host: it and more than half of the control hosts ran undisturbed */
+  isInTouch (entryHost: number, at: number): boolean {
+    return !this.isEntryDisturbed(entryHost, at) && !this.isCoreDisturbed(at, at) && !this.isSuspended(at, at, 2 * CONTACT_MILLISECONDS)
+  }
+
   /** @returns newest version that must be in force at an entry host for a request sent at a time; 0 when none must be */
   findRequiredVersion (entryHost: number, sentAt: number): number {
     if (this.isEntryDisturbed(entryHost, sentAt)) return 0
--- a/__tests__/soak/checks/checks.test.ts
+++ b/__tests__/soak/checks/checks.test.ts
@@ -167,6 +167,26 @@
   assert.deepEqual(listBroken(record), ['resent'])
 })
 
+test('a request at an upstream whose departure was acknowledged is found', () => {
+  const record = createGoodRecord()
+  record.departures.push({ upstream: 'orders-1-1', acknowledgedAt: 3_000 })
+  record.arrivals.push({ entryHost: 0, upstream: 'orders-1-1', domain: 'gijon', arrivedAt: 5_400 })
+  assert.deepEqual(listBroken(record), [])
+  record.arrivals.push({ entryHost: 0, upstream: 'orders-1-1', domain: 'gijon', arrivedAt: 5_600 })
+  assert.deepEqual(listBroken(record), ['departure'])
+})
+
+test('a request in a failure domain whose evacuation was acknowledged is found until the evacuation is finished', () => {
+  const record = createGoodRecord()
+  const addEvacuation = (isEvacuated: boolean, at: number): void => { record.evacuations.push({ domain: 'gijon', isEvacuated, attempts: [{ controlHost: 0, sentAt: at - 10, endedAt: at, status: 200 }] }) }
+  addEvacuation(true, 1_000)
+  addEvacuation(false, 8_000)
+  for (const arrivedAt of [5_900, 8_100]) record.arrivals.push({ entryHost: 0, upstream: 'orders-1-1', domain: 'gijon', arrivedAt })
+  assert.deepEqual(listBroken(record), [])
+  record.arrivals.push({ entryHost: 0, upstream: 'orders-1-1', domain: 'gijon', arrivedAt: 6_100 })
+  assert.deepEqual(listBroken(record), ['evacuation'])
+})
+
 test('the first plan of a run is encoded with all its routes', () => {
   const { routes } = JSON.parse(encodePlan(INITIAL_PLAN)) as { routes: { rows: unknown[][] } }
   assert.equal(routes.rows.length, INITIAL_PLAN.routes.length)
--- a/__tests__/soak/runSoak.ts
+++ b/__tests__/soak/runSoak.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { reserveNetwork } from '../scenarios/reserveNetwork.js'
 import { checkRecord } from './checks/checkRecord.js'
-import { APPLY_MILLISECONDS, findAcknowledgement, RECOVERY_MILLISECONDS } from './checks/PlanHistory.js'
+import { CONTACT_MILLISECONDS, findAcknowledgement, RECOVERY_MILLISECONDS } from './checks/PlanHistory.js'
 import { Draw } from './Draw.js'
 import { drawFirstStep, drawLastStep, drawStep } from './drawFaults.js'
 import { SERVICES } from './drawPlan.js'
@@ -17,6 +17,8 @@
 
 const START_MILLISECONDS = 30_000
 const UPSTREAMS_PER_SERVICE = 2
+/** Time after the last fault from which all hosts count as in touch, and some more in which requests are watched. */
+const WATCH_MILLISECONDS = 2 * CONTACT_MILLISECONDS + 2_000
 const POLL_MILLISECONDS = 200
 
 /** Length and size of a run. */
@@ -48,9 +50,9 @@
   const network = await reserveNetwork()
   const system = new SoakSystem(network.number, entryHosts, record.disturbances)
   const load = new LoadMeter(record.disturbances)
-  const operator = new SoakOperator(system, record, seed)
-  const guests = new SoakGuests(system, record, seed)
   const upstreams = createUpstreams(system, record)
+  const operator = new SoakOperator(system, record, upstreams, seed)
+  const guests = new SoakGuests(system, record, seed)
   const lines: string[] = []
   const runner = new FaultRunner(system, operator, (text) => { lines.push(`${formatSeconds(performance.now() - startedAt)} ${text}`) })
   let breaches: Breach[] = []
@@ -82,7 +84,7 @@
     writeFileSync(join(system.folder, 'course.txt'), `${lines.join('\n')}\n`)
   }
   const slow = record.disturbances.filter(({ host }) => host === 'machine').reduce((sum, { from, to }) => sum + to - from, 0)
-  const acknowledged = [...record.orders, ...record.evacuations].filter(({ attempts }) => attempts.some(({ status }) => status === 200)).length
+  const acknowledged = [...record.orders, ...record.evacuations].filter(({ attempts }) => findAcknowledgement(attempts) !== undefined).length + record.departures.length
   return { seed, seconds: (performance.now() - startedAt) / 1_000, acknowledged, faults: runner.faultCount, slowSeconds: slow / 1_000, breaches, lines, folder: system.folder }
 }
 
@@ -98,7 +100,7 @@
 async function watchRecovery (system: SoakSystem, guests: SoakGuests, record: SoakRecord): Promise<void> {
   record.allBackAt = performance.now()
   const deadline = record.allBackAt + RECOVERY_MILLISECONDS
-  while (performance.now() < deadline && (performance.now() < record.allBackAt + APPLY_MILLISECONDS || countControlHostsRead(record) < CONTROL_HOSTS)) await sleep(POLL_MILLISECONDS)
+  while (performance.now() < deadline && (performance.now() < record.allBackAt + WATCH_MILLISECONDS || countControlHostsRead(record) < CONTROL_HOSTS)) await sleep(POLL_MILLISECONDS)
   const text = record.reads.findLast(({ status }) => status === 200)?.text
   const routes = record.orders.find(({ body }) => body === text)?.plan.routes ?? []
   record.finalRoutes = system.entryHosts.flatMap((_, entryHost) => routes.map(({ prefix }) => ({ entryHost, path: prefix, servedAt: undefined })))
