--- a/__tests__/soak/SoakSystem.ts
+++ b/__tests__/soak/SoakSystem.ts
@@ -63,6 +63,7 @@
   readonly folder = mkdtempSync(join(tmpdir(), 'hibiscusrelay-soak-'))
   readonly #disturbances: Disturbance[]
   readonly #template = readFileSync('deploy/settings.ini', 'utf8')
+  readonly #killAll = (): void => { for (const host of this.hosts) host.process?.kill('SIGKILL') }
   #isStopping = false
 
   /**
@@ -101,8 +102,9 @@
     return `${this.entryHosts[number]!.ip}:${PORTS.front}`
   }
 
-  /** Starts all hosts for the first time. */
+  /** Starts all hosts for the first time. They end with this process, however it ends. */
   start (): void {
+    process.once('exit', this.#killAll)
     for (const host of this.hosts) {
       mkdirSync(host.dataFolder)
       this.#disturb(host, 'start')
@@ -157,6 +159,7 @@
   /** Kills all processes, and removes all files unless they are to be kept. */
   async stop (isKept: boolean): Promise<void> {
     this.#isStopping = true
+    process.off('exit', this.#killAll)
     await Promise.all(this.hosts.map((host) => this.end(host, 'SIGKILL')))
     if (!isKept) rmSync(this.folder, { recursive: true, force: true })
   }
--- a/__tests__/soak/main.ts
+++ b/__tests__/soak/main.ts
@@ -10,6 +10,7 @@
     'entry-hosts': { type: 'string', default: '3' }
   }
 })
+for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => { process.exit(1) })
 const firstSeed = Number(values.seed)
 let brokenSeeds = 0
 for (let seed = firstSeed; seed < firstSeed + Number(values.seeds); seed += 1) {
