--- a/__tests__/soak/soak.test.ts
+++ b/__tests__/soak/soak.test.ts
@@ -5,12 +5,19 @@
 const FAULT_MILLISECONDS = 5_000
 const TIMEOUT_MILLISECONDS = 180_000
 
-for (const seed of [1, 3]) {
-  test(`no rule of changes is broken while hosts are killed, frozen and lose their disks (seed ${seed})`, { timeout: TIMEOUT_MILLISECONDS }, async (context) => {
-    const { seconds, acknowledged, faults, lines, folder } = await runSoak({ seed, faultMilliseconds: FAULT_MILLISECONDS, entryHosts: 2 })
-    context.diagnostic(`${seconds.toFixed(0)} s, ${acknowledged} acknowledged, ${faults} faults`)
-    const broken = lines.filter((line) => line.includes('BROKEN'))
-    if (broken.length > 0) context.diagnostic(lines.join('\n'))
-    assert.deepEqual(broken, [], `logs in ${folder}`)
+/** Seeds of the short runs, and what each guards against. */
+const SEEDS: ReadonlyArray<readonly [number, string]> = [
+  [1, 'faults of single hosts, in series and overlapping'],
+  [3, 'an acknowledged first plan that two disks take away, since the group had only three voters yet']
+]
+
+// The hosts end with this process, also when it takes too long.
+process.once('SIGTERM', () => { process.exit(1) })
+
+for (const [seed, guardedFailure] of SEEDS) {
+  test(`no rule of changes is broken while hosts are killed, frozen and lose their disks (seed ${seed}: ${guardedFailure})`, { timeout: TIMEOUT_MILLISECONDS }, async (context) => {
+    const { seconds, acknowledged, faults, slowSeconds, breaches, lines, folder } = await runSoak({ seed, faultMilliseconds: FAULT_MILLISECONDS, entryHosts: 2 })
+    context.diagnostic(`${seconds.toFixed(0)} s, ${acknowledged} acknowledged, ${faults} faults, machine slow for ${slowSeconds.toFixed(1)} s`)
+    assert.equal(breaches.length, 0, `logs in ${folder}\n${lines.join('\n')}`)
   })
 }
