Wait for joining hosts anew when a leader of a forming group leads again

What callers saw: nothing yet; found by review.

Cause: the start of the forming was kept over the loss of the leadership, against its comment, so the time without a leader, in which no host can join, counted.

The time now begins anew whenever the replica is found not to lead. A group whose leaders all stay for less than 5 s is not completed by waiting.

--- a/src/control/ReplicaGroupManager.ts
+++ b/src/control/ReplicaGroupManager.ts
@@ -63,7 +63,7 @@
   #wasCurrent = false
   #loggedConfiguration: ReplicaConfiguration | undefined
   #failedIdentity: string | undefined
-  /** Monotonic time at which this replica began to lead a forming group, in milliseconds. */
+  /** Monotonic time at which this replica began to lead a forming group, in milliseconds; undefined while it does not lead. */
   #formingSince: number | undefined
 
   /** @param options - the replica, its peers and the size of the group */
@@ -90,6 +90,7 @@
     this.#logMembershipChange()
     const now = performance.now()
     if (hasQuorum || hearsLeader) this.#lastLeaderContactAt = now
+    if (!hasQuorum) this.#formingSince = undefined
     if (isUnusable === true) return this.#retire(failure)
     if (role === ReplicaRole.Empty) await this.#formOrJoinGroup()
     else if (hasQuorum) await this.#maintainGroup()
