Keep the identity of a replica with unusable files until a leader answers

What callers saw: nothing yet; found by review. Three of six control hosts find their logs damaged at one start and intact at the next (a disk that reads wrongly for a while, a folder restored late): the acknowledged plan is read never again.

Cause: since each of them gave up its identity within 200 ms, so three of six voters were gone for good, although no leader could take them in again.

The identity is now given up once another control host answers that it leads with a majority: a replica can join only then, so one lost host is replaced as before.

--- a/src/control/ReplicaGroupManager.ts
+++ b/src/control/ReplicaGroupManager.ts
@@ -91,7 +91,7 @@
     const now = performance.now()
     if (hasQuorum || hearsLeader) this.#lastLeaderContactAt = now
     if (!hasQuorum) this.#formingSince = undefined
-    if (isUnusable === true) return this.#retire(failure)
+    if (isUnusable === true) return await this.#retireIfGroupWorks(failure)
     if (role === ReplicaRole.Empty) await this.#formOrJoinGroup()
     else if (hasQuorum) await this.#maintainGroup()
     else if (now - this.#lastLeaderContactAt > LEADER_SILENCE_MILLISECONDS) await this.#checkRetired()
@@ -198,6 +198,13 @@
     if (statuses.some((status) => status !== undefined && confirmsRemoval(status))) this.#retire()
   }
 
+  /** Without a leader the replica could not join anyway, and its vote may still be needed, should its files be intact at the next start. */
+  async #retireIfGroupWorks (failure?: string): Promise<void> {
+    const { callPeer, listPeers } = this.#options
+    const statuses = await Promise.all(listPeers().map((address) => fetchReplicaStatus(callPeer, address, STATUS_TIMEOUT_MILLISECONDS)))
+    if (statuses.some((status) => status?.hasQuorum === true)) this.#retire(failure)
+  }
+
   /** Gives up the identity of this replica: there is no operator who would put back its files or replace it. */
   #retire (failure?: string): void {
     if (!this.#isRunning) return
