Choose among upstreams at the same cost while one is paused

What callers saw: while any upstream was paused, each request through a host that knows 630 upstreams took up to 20 microseconds longer to place.

Cause: every upstream was looked up in the set of the paused ones.

Change: the few paused upstreams are taken out of the list by their position.

--- a/src/entry/UpstreamLoads.ts
+++ b/src/entry/UpstreamLoads.ts
@@ -51,6 +51,11 @@
     return this.get(id).pause(pause)
   }
 
+  /** @returns identifiers of the upstreams with a pause that is not over, or that have just returned */
+  listPaused (): string[] {
+    return [...this.#pausedUpstreams]
+  }
+
   /** @returns whether an upstream takes a further request of this host, as far as it asked for a pause */
   admits ({ id, bornAt }: UpstreamRecord, now: number): boolean {
     return !this.#pausedUpstreams.has(id) || this.get(id).admits(bornAt, now)
--- a/src/entry/listCandidates.ts
+++ b/src/entry/listCandidates.ts
@@ -37,9 +37,8 @@
   const now = performance.now()
   const { homeRegions, excludedUpstreams, regionOf, canUseCold } = query
   const keyHash = hashKey(query.placementKey)
-  const { hasPauses } = loads
-  const allowed = known.listReady(query.service).filter(({ record }) => {
-    if (excludedUpstreams.has(record.id) || known.isEvacuated(record.domain) || (hasPauses && !loads.admits(record, now))) return false
+  const allowed = listUnpaused(known, loads, query.service, now).filter(({ record }) => {
+    if (excludedUpstreams.has(record.id) || known.isEvacuated(record.domain)) return false
     return homeRegions.length === 0 || homeRegions.includes(regionOf(record.domain) ?? '')
   })
   const isUsable = (id: string): boolean => (!loads.isLost(id) || canProbe(loads.get(id))) && !loads.get(id).isAvoided(now)
@@ -61,6 +60,23 @@
     .sort((left, right) => left.regionRank - right.regionRank || right.score - left.score)
 }
 
+/**
+ * @returns the ready upstreams of a service that this host may send to, as far as they asked for a pause. The few others are
+ * removed by their position: to look up each of hundreds among them would take several microseconds a request.
+ */
+function listUnpaused (known: KnownState, loads: UpstreamLoads, service: string, now: number): UpstreamEntry[] {
+  const ready = known.listReady(service)
+  if (!loads.hasPauses) return ready
+  const unpaused = [...ready]
+  for (const id of loads.listPaused()) {
+    const entry = known.upstreams.get(id) ?? unpaused.find(({ record }) => record.id === id)
+    if (entry === undefined || entry.record.service !== service || loads.admits(entry.record, now)) continue
+    const position = unpaused.indexOf(entry)
+    if (position >= 0) unpaused.splice(position, 1)
+  }
+  return unpaused
+}
+
 /** A single request may test an upstream that control hosts report as lost; a second failure would only take time. */
 function canProbe ({ inFlight, hasFailed }: UpstreamLoad): boolean {
   return inFlight === 0 && !hasFailed
