Trace: list a pause as long as it lasts, and name it in words

What callers saw: `hibiscusrelay trace` of a request that was refused with upstreams-paused did not list the pause if that had begun more than three seconds before, and printed the reason as a bare word.

Cause: only events of the last three seconds were listed.

Change: a pause is listed until three seconds after its host's return, and the reason has its sentence.

Evidence: `node scripts/test.mjs cli/trace platform/upstreamNotices`: the two new tests of trace.test.ts red before, green after. Shown to hold before, by the hosts' own logs (processes): the trace of a request that was moved lists upstream-leaving and upstream-paused, and so does that of the next request of its host.

--- a/__tests__/cli/trace.test.ts
+++ b/__tests__/cli/trace.test.ts
@@ -42,3 +42,26 @@
 test('the trace of a request that no log mentions is empty', () => {
   assert.deepEqual(collectTrace(lines, 'unknown'), { requestLines: [], contextLines: [] })
 })
+
+/** Time of the pause below. */
+const PAUSED_AT = '2026-12-06T00:40:00.000Z'
+const pauseLine = `time=${PAUSED_AT} level=info host=entry-3 event=upstream-paused step=answer peer=127.0.0.1:41001 upstream=i-1 service=inventario pause=60000 returns=60300 request=paused-4`
+
+function refusedAt (milliseconds: number, host = 'entry-3'): string {
+  const time = new Date(Date.parse(PAUSED_AT) + milliseconds).toISOString()
+  return `time=${time} level=warn host=${host} event=request-failed step=answer request=late-1 route=lookups service=inventario plan=2 tried="" waited=0 candidates=0 sends=0 outcome=not-run reason=upstreams-paused status=503 took=1`
+}
+
+// Guards against the trace of a request that a pause concerns, and that does not mention the pause because it began long before.
+test('the trace of a request lists the pauses that had not ended', () => {
+  const listContext = (text: string): string[] => collectTrace([pauseLine, text].map((line) => parseLogLine(line)!), 'late-1').contextLines.map(({ event }) => event)
+  assert.deepEqual(listContext(refusedAt(2_000)), ['upstream-paused'])
+  assert.deepEqual(listContext(refusedAt(59_000)), ['upstream-paused'])
+  assert.deepEqual(listContext(refusedAt(64_000)), [])
+  assert.deepEqual(listContext(refusedAt(-1_000)), [])
+  assert.deepEqual(listContext(refusedAt(59_000, 'entry-4')), [])
+})
+
+test('the trace says in words that all upstreams asked for a pause', () => {
+  assert.match(describeRequestLine(parseLogLine(refusedAt(59_000))!).join(' '), /all upstreams of the service had asked for a pause/)
+})
--- a/__tests__/platform/NoticingUpstream.ts
+++ b/__tests__/platform/NoticingUpstream.ts
@@ -13,7 +13,7 @@
   /** Number of entry hosts: a request with number n in its path is sent through the entry host n modulo this. */
   entryHosts: number
   /** Time for which it works on a request; 20 ms by default. */
-  runMilliseconds?: number
+  runMilliseconds?: number | undefined
 }
 
 /** An upstream that announces itself as ready, whatever its answers say. */
@@ -25,11 +25,8 @@
   isRefusing = false
   /** Time of birth that it announces. */
   born = FIRST_BIRTH
-  /** Greatest number of requests that it worked on at the same time. */
-  maximumRunning = 0
   readonly #options: NoticingUpstreamOptions
   readonly #server: Server
-  #running = 0
   #sequence = 0
 
   /** @param options - its identifier, and how long it works */
@@ -42,12 +39,7 @@
       const attempt = String(request.headers['attempt-id'])
       const load = { 'attempt-id': attempt, 'server-load': `1,0,${SLOTS}`, ...this.fields }
       if (this.isRefusing) return response.writeHead(503, { ...load, 'not-executed': '1' }).end()
-      this.#running += 1
-      this.maximumRunning = Math.max(this.maximumRunning, this.#running)
-      return setTimeout(() => {
-        this.#running -= 1
-        response.writeHead(200, { ...load, 'response-signature': 's' }).end('whole')
-      }, runMilliseconds)
+      return setTimeout(() => { response.writeHead(200, { ...load, 'response-signature': 's' }).end('whole') }, runMilliseconds)
     })
   }
 
--- a/__tests__/platform/upstreamNotices.test.ts
+++ b/__tests__/platform/upstreamNotices.test.ts
@@ -1,14 +1,18 @@
 import assert from 'node:assert/strict'
+import { readFileSync } from 'node:fs'
 import { after, before, test } from 'node:test'
 import { composePlan } from '../../examples/platform/composePlan.js'
 import { sendGuestRequest, sendPost, waitUntil } from '../../examples/platform/httpCalls.js'
 import { PlatformSystem } from '../../examples/platform/PlatformSystem.js'
+import { collectTrace } from '../../src/cli/trace/collectTrace.js'
+import { parseLogLine, type LogLine } from '../../src/cli/trace/LogLine.js'
 import { upstreamProtocol } from '../../platform/wire/upstreamProtocol.js'
 import { reserveNetwork, type ReservedNetwork } from '../scenarios/reserveNetwork.js'
 import { NoticingUpstream } from './NoticingUpstream.js'
 import { sendLoad, type LoadResult } from './sendLoad.js'
 
 const ENTRY_HOSTS = 3
+const CONTROL_HOSTS = 3
 const UPSTREAMS = 6
 const REQUEST_INTERVAL_MILLISECONDS = 25
 /** The shortest time in the users' deployments after which a leaving upstream must get no more requests. */
@@ -86,3 +90,25 @@
   assert.deepEqual(read(500, [['server-leaving', ' 1 ']]), { isLeaving: true, retryAfter: [] })
   assert.deepEqual(read(503, [['retry-after', '6'], ['retry-after', 'soon']]), { isLeaving: false, retryAfter: ['6', 'soon'] })
 })
+
+/** @returns the lines of all entry hosts' logs */
+function readLogs (): LogLine[] {
+  return Array.from({ length: ENTRY_HOSTS }, (_, host) => readFileSync(system.getLogFile(CONTROL_HOSTS + host), 'utf8').split('\n'))
+    .flat().map(parseLogLine).filter((line) => line !== undefined)
+}
+
+test('the trace of a request that was moved lists the notice of its upstream, and so does that of the next request of its host', () => {
+  const lines = readLogs()
+  for (const event of ['upstream-leaving', 'upstream-paused']) {
+    const notice = lines.find((line) => line.event === event)!
+    const moved = collectTrace(lines, notice.fields.get('request')!)
+    assert.ok(moved.requestLines.some((line) => line.event === event && line.fields.get('upstream') === notice.fields.get('upstream')), event)
+    const next = lines.find((line) => line.event === 'request-answered' && line.host === notice.host && line.time > notice.time)!
+    const { contextLines } = collectTrace(lines, next.fields.get('request')!)
+    assert.ok(contextLines.some((line) => line.event === event && line.host === notice.host), `${event} as context`)
+  }
+  const paused = lines.find((line) => line.event === 'upstream-paused')!
+  const tried = collectTrace(lines, paused.fields.get('request')!).requestLines.find(({ event }) => event === 'request-answered')?.fields.get('tried')?.split(',')
+  assert.equal(tried?.length, 2, 'it was moved')
+  assert.equal(tried?.[0], paused.fields.get('upstream'))
+})
--- a/src/cli/trace/collectTrace.ts
+++ b/src/cli/trace/collectTrace.ts
@@ -1,6 +1,6 @@
 import type { LogLine } from './LogLine.js'
 
-/** Events up to this long before a line of the request may have caused its outcome. */
+/** Events up to this long before a line of the request may have caused its outcome; pauses as long as they last, too. */
 const CONTEXT_WINDOW_MILLISECONDS = 3_000
 /** Events that may explain an outcome: changes of upstreams, plans, control hosts or settings, dropped log lines, and a stop. */
 const CONTEXT_EVENTS = new Set(['upstream-died', 'upstream-silent', 'upstream-changed', 'upstream-leaving', 'upstream-paused', 'plan-in-force', 'control-host-left', 'control-host-followed', 'evacuation-ordered', 'lines-dropped', 'settings-reloaded', 'stopping'])
@@ -26,12 +26,17 @@
 }
 
 function isContextOf (line: LogLine, requestLine: LogLine): boolean {
-  if (!CONTEXT_EVENTS.has(line.event) || line.time > requestLine.time || requestLine.time - line.time > CONTEXT_WINDOW_MILLISECONDS) return false
+  if (!CONTEXT_EVENTS.has(line.event) || line.time > requestLine.time || requestLine.time - line.time > findContextMilliseconds(line)) return false
   const attemptedUpstreams = (requestLine.fields.get('tried') ?? '').split(',').filter((name) => name !== '')
   const upstream = line.fields.get('upstream') ?? line.fields.get('peer') ?? ''
   return line.host === requestLine.host || attemptedUpstreams.includes(upstream)
 }
 
+/** @returns how long an event may cause outcomes: a pause does so until its host returns to the upstream, and shortly after */
+function findContextMilliseconds ({ event, fields }: LogLine): number {
+  return CONTEXT_WINDOW_MILLISECONDS + (event === 'upstream-paused' ? Number(fields.get('returns') ?? 0) : 0)
+}
+
 function compareTimes (left: LogLine, right: LogLine): number {
   return left.time - right.time
 }
--- a/src/cli/trace/describeRequestLine.ts
+++ b/src/cli/trace/describeRequestLine.ts
@@ -4,6 +4,7 @@
 const REASON_DESCRIPTIONS: Partial<Record<RefusalReason, string>> = {
   [RefusalReason.QueueFull]: 'all slots of this host\'s share of the service were in use, and the wait would have exceeded the time for which the answer is useful',
   [RefusalReason.UpstreamsFull]: 'the upstreams that hold the object were close to shedding requests',
+  [RefusalReason.UpstreamsPaused]: 'all upstreams of the service had asked for a pause that was not over',
   [RefusalReason.NoUpstream]: 'no upstream of the service is eligible for it: check evacuations, home regions and lost upstreams',
   [RefusalReason.NoPlan]: 'the host had not received a routing plan yet',
   [RefusalReason.Shed]: 'the upstreams refused it without running it',
