--- a/__tests__/platform/sendLoad.ts
+++ b/__tests__/platform/sendLoad.ts
@@ -16,6 +16,8 @@
   name: string
   intervalMilliseconds: number
   milliseconds: number
+  /** Returns the object of the request with a number; its name ends with the number. By default the name of the load and the number. */
+  chooseObject?: (number: number) => string
 }
 
 /**
@@ -24,11 +26,11 @@
  * @param options - how many requests, and where
  * @returns how many were sent, and how many of them had status 200
  */
-export async function sendLoad ({ system, entryHosts, name, intervalMilliseconds, milliseconds }: LoadOptions): Promise<LoadResult> {
+export async function sendLoad ({ system, entryHosts, name, intervalMilliseconds, milliseconds, chooseObject = (number) => `${name}-${number}` }: LoadOptions): Promise<LoadResult> {
   const answers: Array<Promise<boolean>> = []
   const deadline = performance.now() + milliseconds
   for (let number = 0; performance.now() < deadline; number += 1) {
-    answers.push(sendGuestRequest(system.getGuestAddress(number % entryHosts), `/lookups/${name}-${number}`, `${name}-${number}`).then(({ status }) => status === 200, () => false))
+    answers.push(sendGuestRequest(system.getGuestAddress(number % entryHosts), `/lookups/${chooseObject(number)}`, `${name}-${number}`).then(({ status }) => status === 200, () => false))
     await sleep(intervalMilliseconds)
   }
   const results = await Promise.all(answers)
