Refuse at once what a cap can't serve before the deadline

Callers under lasting overload of a cap waited for 95% of their time and were refused then: the wait was estimated from the rate of the cap, burst included, of which nine tenths can be spent for long, and from the deadline, although a waiting request is refused before it. Requests whose refusal is held up by 50 ms at the end got no answer in time.

--- a/src/limits/PlaceCaps.ts
+++ b/src/limits/PlaceCaps.ts
@@ -3,8 +3,11 @@
 import type { Budget } from './Budget.js'
 import type { BudgetLeases } from './BudgetLeases.js'
 import type { CapUse } from './BudgetUse.js'
+import { computeRefillRate } from './computeRefillRate.js'
 import { CATCH_UP_SECONDS, RampLimit } from './RampLimit.js'
 
+const REQUEST_UNIT = 1
+
 /** Limits the requests that are dispatched in a place to its caps, and lets their rate grow only gradually. */
 export class PlaceCaps {
   readonly #leases: BudgetLeases
@@ -59,12 +62,13 @@
   /**
    * @param service - name of the service
    * @param place - name of the place
-   * @returns requests per second that this host may currently admit; Infinity without a cap
+   * @returns requests per second that this host can currently admit for long; Infinity without a cap
    */
   rate (service: string, place: string): number {
     const name = makeBudgetName(service, place)
     const openRate = this.#rampsByBudget.get(name)?.openRate ?? Infinity
-    return Math.min(openRate, this.#leases.rate(this.#scopeName, name) ?? Infinity)
+    const rate = Math.min(openRate, this.#leases.rate(this.#scopeName, name) ?? Infinity)
+    return rate === Infinity ? Infinity : computeRefillRate(rate, REQUEST_UNIT)
   }
 
   /**
@@ -120,7 +124,7 @@
     this.#rampsByBudget = rampsByBudget
     this.#caps = localCaps
     this.#leases.setBudgets(this.#scopeName, localCaps.map((cap): Budget => ({
-      name: makeBudgetName(cap.service, cap.place), amountPerSecond: cap.requestsPerSecond, unit: 1, catchUpSeconds: CATCH_UP_SECONDS
+      name: makeBudgetName(cap.service, cap.place), amountPerSecond: cap.requestsPerSecond, unit: REQUEST_UNIT, catchUpSeconds: CATCH_UP_SECONDS
     })))
   }
 }
--- a/src/limits/TokenBucket.ts
+++ b/src/limits/TokenBucket.ts
@@ -1,7 +1,8 @@
+import { computeBurst, computeRefillRate } from './computeRefillRate.js'
 import { SpendWindow } from './SpendWindow.js'
 
-const BURST_SECONDS = 0.1
-const MINIMUM_REFILL_FRACTION = 0.5
+/** Time after a refused spend in which a pause counts as a stall. */
+const BUSY_MILLISECONDS = 100
 /** Longer than a second, so that spends that take effect with different delays still keep the rate where they are counted. */
 export const WINDOW_MILLISECONDS = 1_100
 
@@ -40,7 +41,7 @@
 
   /** Maximum number of tokens, reached while nothing is spent. */
   get burst (): number {
-    return this.#rate === 0 ? 0 : Math.max(this.#rate * BURST_SECONDS, this.#unit)
+    return computeBurst(this.#rate, this.#unit)
   }
 
   /**
@@ -98,13 +99,13 @@
 
   /** Unless spends were refused just before, there was nothing to spend on since the last refill. */
   #computeCapacity (): number {
-    const wasBusy = this.#refilledAt - this.#refusedAt < BURST_SECONDS * 1000
+    const wasBusy = this.#refilledAt - this.#refusedAt < BUSY_MILLISECONDS
     return this.burst + (wasBusy ? this.#rate * this.#catchUpSeconds : 0)
   }
 
   #refill (now: number): void {
     const seconds = Math.max(0, now - this.#refilledAt) / 1000
-    const refillRate = Math.max(this.#rate - this.burst, this.#rate * MINIMUM_REFILL_FRACTION)
+    const refillRate = computeRefillRate(this.#rate, this.#unit)
     this.#tokens = Math.max(this.#tokens, Math.min(this.#computeCapacity(), this.#tokens + seconds * refillRate))
     if (this.#tokens > this.burst) this.#caughtUpAt = now
     this.#refilledAt = Math.max(now, this.#refilledAt)
--- a/src/relay/UpstreamPool.ts
+++ b/src/relay/UpstreamPool.ts
@@ -167,13 +167,13 @@
     return RefusalReason.DeadlineTooShort
   }
 
-  /** Estimates the wait from the slots and the cap; a request that must wait also needs time to run afterwards. */
+  /** Estimates the wait from the slots and the cap; a request that must wait also needs time to run afterwards, and is refused before its deadline. */
   #canMeetDeadline (request: SlotRequest, slots: number): boolean {
     const remainingMilliseconds = request.deadline - performance.now()
     const requestsAhead = this.#queue.countDueBy(request.deadline)
     if (requestsAhead === 0) return remainingMilliseconds > 0
     const millisecondsPerRequest = Math.max(this.#meanRunMilliseconds / Math.max(1, slots), MILLISECONDS_PER_SECOND / this.#options.cap.rate(this.service))
-    return requestsAhead * millisecondsPerRequest + this.#meanRunMilliseconds < remainingMilliseconds
+    return requestsAhead * millisecondsPerRequest < Math.min(remainingMilliseconds - this.#meanRunMilliseconds, remainingMilliseconds * WAIT_FRACTION)
   }
 
   #enqueue (request: SlotRequest, isAtCap: boolean, resolve: (result: Upstream | RefusalReason) => void): void {
