Switch to a control host with a newer plan while none is current

Cause: a follower whose control host is not current looks for a current one only. As long as no leader is elected there is none, so it stays with the plan that the first control host recalled. Why it works: each control host tells the version of its plan with the same answer, and a recalled plan is committed, so a newer one may be taken at once.

--- a/__tests__/follow/ControlFollower.test.ts
+++ b/__tests__/follow/ControlFollower.test.ts
@@ -152,3 +152,23 @@
   await advance(context, 500)
   assert.equal(known.plan?.version, 2)
 })
+
+// Guards against an entry host that serves an older plan until a leader is elected, although other control hosts recall a newer one.
+test('a follower of a control host that is not current switches to one with a newer plan, while none is current', async (context) => {
+  pauseClock(context)
+  const network = new MemoryNetwork()
+  const older = new ControlHostFixture(network, 'older', [])
+  older.acceptPlan(1, 0)
+  older.isCurrent = false
+  const known = new KnownState()
+  const follower = createFollower({ seeds: () => ['older', 'newer'], known, callPeer: network.addHost('entry').callPeer })
+  follower.run().catch(() => {})
+  context.after(() => { follower.stop() })
+  await advance(context, 500)
+  assert.equal(known.plan?.version, 1)
+  const newer = new ControlHostFixture(network, 'newer', [])
+  newer.acceptPlan(2, 0)
+  newer.isCurrent = false
+  await advance(context, 2_500)
+  assert.equal(known.plan?.version, 2)
+})
--- a/src/follow/ControlFollower.ts
+++ b/src/follow/ControlFollower.ts
@@ -25,6 +25,12 @@
 /** How long a control host that is not current is followed before a search for another one. */
 const MAXIMUM_STALE_MILLISECONDS = 600
 
+/** Answer of a control host that tells the version of its plan. */
+interface PlanAnswer {
+  address: string
+  planVersion: number
+}
+
 /** Dependencies of {@link ControlFollower}. */
 export interface ControlFollowerOptions {
   /** Peer addresses of control hosts from the settings. */
@@ -144,24 +150,38 @@
 
   /** @returns the address of a current control host, or else of the one that answers with the newest plan: it may have other updates, too */
   async #findControlHost (): Promise<string | undefined> {
-    const answers: Array<{ address: string, planVersion: number }> = []
-    const ask = (address: string): Promise<boolean> => this.#askCurrency(address, ({ planVersion }) => { answers.push({ address, planVersion }) })
-    const agreeingAddress = await askWithHedging(this.#ranking.rank(), ask, HEDGING_DELAY_MILLISECONDS)
+    const { agreeingAddress, newestAnswer } = await this.#ask(this.#ranking.rank())
     this.#staleSince = performance.now()
-    const newestVersion = Math.max(...answers.map(({ planVersion }) => planVersion))
-    return agreeingAddress ?? answers.find(({ planVersion }) => planVersion === newestVersion)?.address
+    return agreeingAddress ?? newestAnswer?.address
   }
 
-  /** Searches for a better control host while the present one is followed, and switches only if one is found. */
+  /**
+   * Searches for a better control host while the present one is followed, and switches only if one is found: a current one, or
+   * else one with a newer plan, since a leader may be long in coming after a kill of all control hosts.
+   */
   #searchForBetter (candidates: string[]): void {
     if (this.#isSearching || candidates.length === 0) return
     this.#isSearching = true
-    askWithHedging(candidates, (address) => this.#askCurrency(address), HEDGING_DELAY_MILLISECONDS)
-      .then((agreeingAddress) => { if (agreeingAddress !== undefined) this.#switchTo(agreeingAddress) })
+    this.#ask(candidates)
+      .then(({ agreeingAddress, newestAnswer }) => {
+        const knownVersion = this.#options.known.plan?.version ?? 0
+        const betterAddress = agreeingAddress ?? (newestAnswer !== undefined && newestAnswer.planVersion > knownVersion ? newestAnswer.address : undefined)
+        if (betterAddress !== undefined) this.#switchTo(betterAddress)
+      })
       .finally(() => { this.#isSearching = false })
   }
 
-  async #askCurrency (address: string, onAnswer: (reply: CurrencyReply) => void = () => {}): Promise<boolean> {
+  /** Asks control hosts whether they are current, and for the versions of their plans. */
+  async #ask (candidates: string[]): Promise<{ agreeingAddress: string | undefined, newestAnswer: PlanAnswer | undefined }> {
+    let newestAnswer: PlanAnswer | undefined
+    const ask = (address: string): Promise<boolean> => this.#askCurrency(address, ({ planVersion }) => {
+      if (planVersion > (newestAnswer?.planVersion ?? -1)) newestAnswer = { address, planVersion }
+    })
+    const agreeingAddress = await askWithHedging(candidates, ask, HEDGING_DELAY_MILLISECONDS)
+    return { agreeingAddress, newestAnswer }
+  }
+
+  async #askCurrency (address: string, onAnswer: (reply: CurrencyReply) => void): Promise<boolean> {
     const { callPeer, log } = this.#options
     try {
       const reply = await callPeer<CurrencyReply>(address, PeerMethod.AskCurrency, {}, CURRENCY_TIMEOUT_MILLISECONDS)
