Add no voter beside a complete group where that raises the majority

One host was replaced at a new address; 2 s later, before the voter that was gone had been removed, its successor and one more host lost their disks. Cause: the successor became the sixth voter at once, and of six voters, one of them gone, only three were left; of the five before three were left, too, and that is a majority. Why it works: from an odd number of voters to the next even one the majority grows by one, so a voter more bears no further loss. From an even number to the next odd one it stays, and the group bears one more, as before.

--- a/__tests__/control/chooseRepair.test.ts
+++ b/__tests__/control/chooseRepair.test.ts
@@ -23,6 +23,13 @@
   assert.deepEqual(chooseRepair(createConfiguration(5, '127.0.0.9:1'), createHealth(['v1']), 6), { kind: RepairKind.Promote, identity: 'l0' })
 })
 
+// Guards against a group of six voters of which one is gone, and that loses its majority with two disks, one of them that of the newest voter.
+test('a new replica does not vote beside a complete group while that would raise the majority', () => {
+  assert.equal(chooseRepair(createConfiguration(5, '127.0.0.9:1'), createHealth([]), 5), undefined)
+  assert.deepEqual(chooseRepair(createConfiguration(5, '127.0.0.9:1'), createHealth(['v1']), 5), { kind: RepairKind.Remove, identity: 'v1' })
+  assert.deepEqual(chooseRepair(createConfiguration(4, '127.0.0.9:1'), createHealth([]), 5), { kind: RepairKind.Promote, identity: 'l0' })
+})
+
 test('a voter that is gone is removed before its replacement votes', () => {
   assert.deepEqual(chooseRepair(createConfiguration(6, '127.0.0.9:1'), createHealth(['v1']), 6), { kind: RepairKind.Remove, identity: 'v1' })
 })
--- a/src/control/chooseRepair.ts
+++ b/src/control/chooseRepair.ts
@@ -47,7 +47,15 @@
     chooseVacancyFill(voters, learners, health, desiredVoters) ??
     replacement ??
     chooseVoterRemoval(voters, health, learners.length > 0 ? desiredVoters - 1 : desiredVoters) ??
-    choosePromotion(learners)
+    choosePromotion(mayGainVoter(voters, desiredVoters) ? learners : [])
+}
+
+/**
+ * Beyond the desired number, one more voter helps only if the majority stays the same. Otherwise the group would bear the
+ * same losses among the other voters, and one less when the new one is lost again before the voter that is gone was removed.
+ */
+function mayGainVoter ({ length }: ReplicaMember[], desiredVoters: number): boolean {
+  return length < desiredVoters || length % 2 === 0
 }
 
 function listUsableLearners (configuration: ReplicaConfiguration, { silentIdentities, failedIdentity }: GroupHealth): ReplicaMember[] {
