--- a/__tests__/control/ControlCluster.ts
+++ b/__tests__/control/ControlCluster.ts
@@ -15,6 +15,8 @@
 const SEED_COUNT = 3
 const LIMIT_MILLISECONDS = 60_000
 const STEP_MILLISECONDS = 10
+/** Age of the list of control hosts from which the settings of a new host are written. */
+const SEED_LAG_MILLISECONDS = 3_000
 
 /** A request of an entry host that knows nothing yet. */
 export const FOLLOW_REQUEST: FollowRequest = {
@@ -30,6 +32,8 @@
   files: MemoryFiles
   process: ControlHostProcess
   events: string[]
+  /** Control hosts that its settings name. */
+  seeds: string[]
 }
 
 /** Control hosts in one process, on a paused clock, with a network and disks in memory. */
@@ -42,6 +46,8 @@
   readonly #random: () => number
   readonly #hostCount: number
   #addressCount = 0
+  /** Addresses of all control hosts from a time on, the oldest first. */
+  readonly #lists: Array<{ since: number, addresses: string[] }> = []
 
   private constructor (context: TestContext, hostCount: number, seed = 1) {
     this.#context = context
@@ -77,14 +83,14 @@
 
   /** Starts killed hosts at the same time, with the files that they find. */
   async restart (hosts: readonly ClusterControlHost[], findFiles: (files: MemoryFiles) => MemoryFiles): Promise<ClusterControlHost[]> {
-    const restarted = hosts.map((host) => this.#createHost(this.hosts.indexOf(host), findFiles(host.files), false, host.address))
+    const restarted = hosts.map((host) => this.#createHost(this.hosts.indexOf(host), findFiles(host.files), false, host))
     await Promise.all(restarted.map((host) => this.#open(host)))
     return restarted
   }
 
   /** Starts a killed host at its address again, and goes on at once. */
-  launch (host: ClusterControlHost, files: MemoryFiles, address = host.address): ClusterControlHost {
-    const launched = this.#createHost(this.hosts.indexOf(host), files, false, address)
+  launch ({ address, seeds }: Pick<ClusterControlHost, 'address' | 'seeds'>, files: MemoryFiles, index = this.#findIndex(address)): ClusterControlHost {
+    const launched = this.#createHost(index, files, false, { address, seeds })
     launched.process.open().then(async () => { await launched.process.start() }).catch((error: unknown) => { launched.events.push(String(error)) })
     return launched
   }
@@ -92,7 +98,11 @@
   /** Starts a new host, at an address that no host had and with an empty disk, in place of a killed one; goes on at once. */
   launchReplacement (host: ClusterControlHost): ClusterControlHost {
     this.#addressCount += 1
-    return this.launch(host, this.createDisk(), formatAddress(this.#addressCount))
+    const listedAt = performance.now() - SEED_LAG_MILLISECONDS
+    const { addresses } = this.#lists.findLast(({ since }) => since <= listedAt) ?? this.#lists[0]!
+    const first = Math.floor(this.#random() * addresses.length)
+    const seeds = [...addresses.slice(first), ...addresses.slice(0, first)].slice(0, SEED_COUNT)
+    return this.launch({ address: formatAddress(this.#addressCount), seeds }, this.createDisk(), this.hosts.indexOf(host))
   }
 
   /** @returns an empty disk */
@@ -124,7 +134,8 @@
   }
 
   #createHosts (): ClusterControlHost[] {
-    const created = Array.from({ length: this.#hostCount }, (_, index) => this.#createHost(index, this.createDisk(), true, formatAddress(index + 1)))
+    const addresses = Array.from({ length: this.#hostCount }, (_, index) => formatAddress(index + 1))
+    const created = addresses.map((address, index) => this.#createHost(index, this.createDisk(), true, { address, seeds: addresses.slice(0, SEED_COUNT) }))
     this.#addressCount = this.#hostCount
     this.#context.after(() => { for (const host of this.hosts) this.kill(host) })
     return created
@@ -135,8 +146,11 @@
     await this.waitFor(process.start())
   }
 
-  #createHost (index: number, files: MemoryFiles, isFirstStart: boolean, address: string): ClusterControlHost {
-    const seeds = Array.from({ length: Math.min(SEED_COUNT, this.#hostCount) }, (_, seed) => formatAddress(seed + 1))
+  #findIndex (address: string): number {
+    return this.hosts.findIndex((host) => host.address === address)
+  }
+
+  #createHost (index: number, files: MemoryFiles, isFirstStart: boolean, { address, seeds }: Pick<ClusterControlHost, 'address' | 'seeds'>): ClusterControlHost {
     const events: string[] = []
     const record = (event: string, fields: object): void => {
       events.push(event)
@@ -151,8 +165,9 @@
       counters: new Counters(),
       log: { info: record, warn: record, error: record }
     })
-    const host = { address, files, process, events }
+    const host = { address, files, process, events, seeds }
     this.hosts[index] = host
+    if (this.hosts.length === this.#hostCount) this.#lists.push({ since: performance.now(), addresses: this.hosts.map((each) => each.address) })
     return host
   }
 }
