Test departures beside control hosts that restart, lag and lose disks

Upstreams announce themselves at any control host and drain or leave at any other, at times right before a kill of all; after each round no entry host may list one as ready whose departure was acknowledged.

--- a/__tests__/follow/disturbedControlHosts.test.ts
+++ b/__tests__/follow/disturbedControlHosts.test.ts
@@ -4,6 +4,9 @@
 import type { RoutingPlan } from '../../src/plan/RoutingPlan.js'
 import { MemoryFiles } from '../agreement/support/MemoryFiles.js'
 import { seededRandom } from '../agreement/support/SheetCluster.js'
+import { AnnouncementResult } from '../../src/registry/UpstreamRegistry.js'
+import { UpstreamReadiness } from '../../src/registry/UpstreamRecord.js'
+import { createUpstreamRecord } from '../registry/createUpstreamRecord.js'
 import { ControlCluster, type ClusterControlHost } from '../control/ControlCluster.js'
 import { createRoute, createSubmission } from '../plan/createPlan.js'
 import { FollowingHosts } from './FollowingHosts.js'
@@ -31,6 +34,9 @@
   readonly #submitted = new Map<number, RoutingPlan>()
   readonly #down = new Set<ClusterControlHost>()
   readonly #evacuated = new Set<string>()
+  /** Identifiers of upstreams whose drain or departure was acknowledged. */
+  readonly #departed = new Set<string>()
+  #upstreamCount = 0
   #acknowledgedVersion = 1
   #lastVersion = 1
   #losses = 0
@@ -46,7 +52,7 @@
   /** Disturbs control hosts, links and entry hosts at random while the operator changes plans and evacuations. */
   async disturb (): Promise<void> {
     this.#losses = 0
-    const steps = [() => { this.#killOne() }, () => this.#restartDown(), () => this.#killAll(), () => this.#killAllWhileOneLags(), () => { this.#cutOne() }, () => { this.#cluster.network.heal() }, () => { this.entryHosts.start(this.#pick(ENTRY_HOST_COUNT)) }, () => this.#submit(), () => this.#submit(), () => this.#orderEvacuation()]
+    const steps = [() => { this.#killOne() }, () => this.#restartDown(), () => this.#killAll(), () => this.#killAllWhileOneLags(), () => { this.#cutOne() }, () => { this.#cluster.network.heal() }, () => { this.entryHosts.start(this.#pick(ENTRY_HOST_COUNT)) }, () => this.#submit(), () => this.#submit(), () => this.#orderEvacuation(), () => this.#startAndEndUpstream()]
     for (let step = 0; step < STEPS_PER_ROUND; step += 1) {
       await steps[this.#pick(steps.length)]!()
       await this.#watch(this.#pick(STEP_MILLISECONDS))
@@ -65,6 +71,7 @@
   /** Fails unless what was acknowledged is in force, and a further change comes into force in time. */
   async expectInForce (): Promise<void> {
     for (const { known } of this.entryHosts.hosts) assert.ok(known.plan !== undefined && known.plan.version >= this.#acknowledgedVersion, `plan ${known.plan?.version} is in force, ${this.#acknowledgedVersion} was acknowledged`)
+    for (const { known, name } of this.entryHosts.hosts) assert.deepEqual(known.listReady('inventario').map(({ record }) => record.id).filter((id) => this.#departed.has(id)), [], `departed upstreams at ${name}`)
     const before = this.#acknowledgedVersion
     await this.#submit()
     assert.ok(this.#acknowledgedVersion > before, 'a change is acknowledged')
@@ -84,8 +91,7 @@
   }
 
   #killOne (): void {
-    const up = this.#listUp()
-    if (this.#down.size < MAXIMUM_DOWN) this.#kill(up[this.#pick(up.length)]!)
+    if (this.#down.size < MAXIMUM_DOWN) this.#kill(this.#pickUp())
   }
 
   #kill (host: ClusterControlHost): void {
@@ -101,8 +107,7 @@
 
   /** Makes a control host miss a change, so that it recalls an older plan than the others after a kill of all. */
   async #killAllWhileOneLags (): Promise<void> {
-    const up = this.#listUp()
-    const { address } = up[this.#pick(up.length)]!
+    const { address } = this.#pickUp()
     this.#cluster.network.split([address], this.#cluster.hosts.map((host) => host.address).filter((other) => other !== address))
     await this.#watch(this.#pick(2 * STEP_MILLISECONDS))
     await this.#submit()
@@ -151,8 +156,7 @@
   }
 
   async #readVersion (): Promise<number | undefined> {
-    const up = this.#listUp()
-    const answer = await this.#watchUntil(up[this.#pick(up.length)]!.process.plans.read())
+    const answer = await this.#watchUntil(this.#pickUp().process.plans.read())
     const version = answer?.current?.plan.version
     if (version !== undefined) assert.ok(version >= this.#acknowledgedVersion, `plan ${version} is read, ${this.#acknowledgedVersion} was acknowledged`)
     return version
@@ -168,6 +172,23 @@
     else this.#evacuated.delete(domain)
   }
 
+  /** An upstream announces itself at any host, and leaves or drains after a while at any other. */
+  async #startAndEndUpstream (): Promise<void> {
+    const id = `i-${++this.#upstreamCount}`
+    const record = createUpstreamRecord({ id, address: `127.0.2.${this.#upstreamCount}:8080` })
+    await this.#watchUntil(this.#pickUp().process.upstreams.announce(record))
+    await this.#watch(this.#pick(STEP_MILLISECONDS))
+    const { upstreams } = this.#pickUp().process
+    const left = this.#random() < 0.5 ? upstreams.remove(id, record.bornAt) : upstreams.announce({ ...record, sequence: 2, readiness: UpstreamReadiness.Draining })
+    if (await this.#watchUntil(left) === AnnouncementResult.Accepted) this.#departed.add(id)
+    if (this.#random() < 0.3) await this.#killAll()
+  }
+
+  #pickUp (): ClusterControlHost {
+    const up = this.#listUp()
+    return up[this.#pick(up.length)]!
+  }
+
   async #recover (): Promise<undefined> {
     this.#cluster.network.heal()
     await this.#restartDown()
@@ -176,8 +197,7 @@
 
   async #askUntilClear (ask: (host: ClusterControlHost) => Promise<PlanResult>): Promise<PlanResult | undefined> {
     for (let attempt = 0; attempt < 4; attempt += 1) {
-      const up = this.#listUp()
-      const result = await this.#watchUntil(ask(up[this.#pick(up.length)]!))
+      const result = await this.#watchUntil(ask(this.#pickUp()))
       if (result !== PlanResult.Unknown) return result
       await this.#watch(200)
     }
