--- a/__tests__/control/RandomFaults.ts
+++ b/__tests__/control/RandomFaults.ts
@@ -189,9 +189,12 @@
 
   async #stallDisk (machine: number): Promise<void> {
     const { files } = this.#cluster.hosts[machine]!
-    files.syncMilliseconds = 300 + this.pickTime(8_000)
+    const stallMilliseconds = 300 + this.pickTime(8_000)
+    files.syncMilliseconds = stallMilliseconds
     await pause(this.pickTime(8_000))
     files.syncMilliseconds = 0
+    // A sync that has just begun still takes that long.
+    await pause(stallMilliseconds)
   }
 
   async #refuseWrites (machine: number): Promise<void> {
