--- a/__tests__/control/randomLosses.test.ts
+++ b/__tests__/control/randomLosses.test.ts
@@ -21,6 +21,7 @@
 /** Seeds that failed before, with the cause. */
 const REGRESSIONS = [
   { hostCount: 5, seed: 2013, cause: 'a sixth voter beside one that was gone raised the majority' },
+  { hostCount: 5, seed: 4039, cause: 'a frozen voter that was removed learned of it too late' },
   { hostCount: 6, seed: 56, cause: 'a failed write of the log was left unhandled' }
 ]
 
