--- a/src/control/ReplicaGroupManager.ts
+++ b/src/control/ReplicaGroupManager.ts
@@ -24,7 +24,7 @@
 const VOTER_SILENCE_MILLISECONDS = 2_000
 /** Silence after which a learner is removed. It is longer, because such a learner only has to be passed over, and begins anew if it returns. */
 const LEARNER_SILENCE_MILLISECONDS = 10_000
-/** Silence of the leader after which a replica asks its peers whether it was removed: longer than an election, and short enough to join anew within the 4 s. */
+/** Silence of the leader after which a replica asks its peers whether it was removed: longer than an election, and short enough for a removed voter to be one again within the time to catch up. */
 const LEADER_SILENCE_MILLISECONDS = 1_500
 const STATUS_TIMEOUT_MILLISECONDS = 500
 /** Delay per preceding seed before a seed forms the group, which gives those seeds time to form it first. */
