--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -245,7 +245,6 @@
   }
 
   #isKnownService (service: string): boolean {
-    const { plan } = this.#planSource
-    return plan === undefined || plan.services.some(({ name }) => name === service)
+    return this.#planSource.plan?.services.some(({ name }) => name === service) ?? true
   }
 }
