Handle the requests of a connection one after another

Callers that sent a request behind another one, before its answer, could see the second one run and the connection end without an answer to it: all requests of a connection were handled at once, and when the answer to the first closed the connection (a stop, a refused body, an answer without a length), the second had already been passed on to an upstream. It is the same in both forms, as both use this listener.

A request now waits until the one before it has its answer, and isn't handled when that answer closed the connection. A caller that gets `connection: close` knows that what it sent behind wasn't handled.

--- /dev/null
+++ b/__tests__/transport/HttpListener.test.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { connect, type Socket } from 'node:net'
+import { test, type TestContext } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { HttpListener } from '../../src/transport/HttpListener.js'
+
+/** Each test file runs in a process of its own, and so has an address of its own. */
+const HOST = `127.82.${process.pid >> 8 & 255}.${process.pid & 255}`
+const PORT = 7_000
+const RUN_MILLISECONDS = 200
+const WAIT_MILLISECONDS = 3_000
+const MALFORMED_ANSWER = 'HTTP/1.1 400 Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n'
+const REQUEST = 'GET /first HTTP/1.1\r\nhost: h\r\n\r\n'
+
+/** A guest's connection, whose bytes are all read. */
+interface Guest {
+  socket: Socket
+  text: () => string
+  /** Resolves to the error that ended the connection, undefined when it ended in order. */
+  ended: Promise<string | undefined>
+}
+
+async function openListener (context: TestContext, handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>): Promise<HttpListener> {
+  const listener = new HttpListener({ address: `${HOST}:${PORT}`, headerBytes: 8_192, handle, onMalformed: () => MALFORMED_ANSWER })
+  await listener.open()
+  context.after(async () => {
+    listener.destroy()
+    await listener.closeWithin(0)
+  })
+  return listener
+}
+
+function openGuest (): Guest {
+  const socket = connect({ host: HOST, port: PORT })
+  let text = ''
+  let error: string | undefined
+  socket.on('data', (chunk) => { text += chunk.toString('latin1') })
+  socket.on('error', ({ code }: NodeJS.ErrnoException) => { error ??= code })
+  const ended = new Promise<string | undefined>((resolve) => { socket.once('close', () => { resolve(error) }) })
+  return { socket, text: () => text, ended: Promise.race([ended, sleep(WAIT_MILLISECONDS, 'still open', { ref: false })]) }
+}
+
+async function answerLate (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  request.resume()
+  if (!request.complete) await once(request, 'end')
+  await sleep(RUN_MILLISECONDS)
+  response.end(`answer to ${request.url}`)
+}
+
+// Guards against a run whose answer is cut off because the answer before it closes the connection.
+test('a request behind another one does not run when the answer to the first closes the connection', async (context) => {
+  const served: string[] = []
+  const listener = await openListener(context, async (request, response) => {
+    served.push(request.url ?? '')
+    await answerLate(request, response)
+  })
+  const guest = openGuest()
+  guest.socket.write(REQUEST + REQUEST.replace('first', 'second'))
+  await sleep(RUN_MILLISECONDS / 2)
+  listener.beginClose()
+  await guest.ended
+  assert.match(guest.text(), /answer to \/first$/)
+  assert.deepEqual(served, ['/first'])
+})
+
+// Guards against answers in another order than their requests, and against requests that never get their turn.
+test('requests that follow each other without a pause are all answered in order', async (context) => {
+  await openListener(context, answerLate)
+  const guest = openGuest()
+  guest.socket.write(REQUEST + REQUEST.replace('first', 'second') + REQUEST.replace('first', 'third'))
+  while (!guest.text().includes('third')) await sleep(RUN_MILLISECONDS / 4)
+  assert.deepEqual(guest.text().match(/answer to \/\w+/g)?.map((part) => part.replace(/HTTP$/, '')), ['answer to /first', 'answer to /second', 'answer to /third'])
+  guest.socket.destroy()
+})
--- a/src/transport/HttpListener.ts
+++ b/src/transport/HttpListener.ts
@@ -5,6 +5,7 @@
 import { errorTexts } from '../errors/errorTexts.js'
 import { Step } from '../types/Step.js'
 import { splitAddress } from '../utils/splitAddress.js'
+import { ConnectionTurns } from './ConnectionTurns.js'
 
 const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 30_000
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000
@@ -27,6 +28,7 @@
   readonly #server: Server
   readonly #options: HttpListenerOptions
   readonly #responses = new Set<ServerResponse>()
+  readonly #turns = new ConnectionTurns()
   #isClosing = false
 
   /** @param options - address, header limit and handlers */
@@ -96,6 +98,7 @@
   }
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (!await this.#turns.take(request, response)) return
     this.#responses.add(response)
     if (this.#isClosing) askToDisconnect(response)
     response.once('close', () => { this.#responses.delete(response) })
