Refuse unreadable bytes behind the answers before them

A guest whose request waited for its answer got a raw 400 in its place when bytes that are no request came behind it on the same connection, or a 408 when a next request was begun and not ended within 10 s; an answer that was half written got the refusal into its body. The connection then ended, so that a request that had been passed on to an upstream lost its answer. Cause: the raw answer was written on the socket whatever was being answered on it.

The refusal now waits for the turn of the bytes: behind the answers of earlier requests, at once for a body that can't be read and has no answer yet, and not at all when that request is being answered. Further segments no longer destroy the connection while it waits.

Evidence: on the code before, 'bytes that are no request do not take the answer of the request before them' got only 'HTTP/1.1 400 Refused', and 'bytes that are no request do not end up in a body that is half written' got 'firstHTTP/1.1 400 Refused' under a length of 10.

--- a/__tests__/transport/HttpListener.test.ts
+++ b/__tests__/transport/HttpListener.test.ts
@@ -49,6 +49,41 @@
   response.end(`answer to ${request.url}`)
 }
 
+// Guards against the refusal of later bytes in place of the answer to a request that is still being answered.
+test('bytes that are no request do not take the answer of the request before them', async (context) => {
+  await openListener(context, answerLate)
+  const guest = openGuest()
+  guest.socket.write(REQUEST)
+  await sleep(RUN_MILLISECONDS / 2)
+  guest.socket.write('\u0001\u0002 no request\r\n\r\n')
+  assert.equal(await guest.ended, undefined)
+  assert.match(guest.text(), /^HTTP\/1.1 200 OK\r\n[^]*answer to \/firstHTTP\/1.1 400 Refused/)
+})
+
+// Guards against a refusal between the parts of an answer that is half written.
+test('bytes that are no request do not end up in a body that is half written', async (context) => {
+  await openListener(context, async (_request, response) => {
+    response.writeHead(200, { 'content-length': 10 }).write('first')
+    await sleep(RUN_MILLISECONDS)
+    response.end('later')
+  })
+  const guest = openGuest()
+  guest.socket.write(REQUEST)
+  await sleep(RUN_MILLISECONDS / 2)
+  guest.socket.write('\u0001\u0002 no request\r\n\r\n')
+  assert.equal(await guest.ended, undefined)
+  assert.match(guest.text(), /\r\n\r\nfirstlaterHTTP\/1.1 400 Refused/)
+})
+
+// Guards against waiting for the end of a body that can't be read any more.
+test('a body that cannot be read is refused at once', async (context) => {
+  await openListener(context, answerLate)
+  const guest = openGuest()
+  guest.socket.write('POST /first HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\nno length\r\n')
+  assert.equal(await guest.ended, undefined)
+  assert.equal(guest.text(), MALFORMED_ANSWER)
+})
+
 // Guards against a run whose answer is cut off because the answer before it closes the connection.
 test('a request behind another one does not run when the answer to the first closes the connection', async (context) => {
   const served: string[] = []
--- a/src/transport/HttpListener.ts
+++ b/src/transport/HttpListener.ts
@@ -29,6 +29,8 @@
   readonly #options: HttpListenerOptions
   readonly #responses = new Set<ServerResponse>()
   readonly #turns = new ConnectionTurns()
+  /** Connections that sent bytes which are no valid request. */
+  readonly #malformed = new WeakSet<Duplex>()
   #isClosing = false
 
   /** @param options - address, header limit and handlers */
@@ -41,7 +43,9 @@
       requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
       noDelay: true
     }, (request, response) => { this.#serve(request, response).catch(() => { response.destroy() }) })
-    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => { this.#refuseMalformed(error, socket) })
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      this.#refuseMalformed(error, socket).catch(() => { socket.destroy() })
+    })
   }
 
   /** Number of requests in flight. */
@@ -105,11 +109,15 @@
     await this.#options.handle(request, response)
   }
 
-  #refuseMalformed (error: NodeJS.ErrnoException, socket: Duplex): void {
+  async #refuseMalformed (error: NodeJS.ErrnoException, socket: Duplex): Promise<void> {
     if (!socket.writable || error.code === 'ECONNRESET') {
       socket.destroy()
       return
     }
+    // The parser reports each further segment, too.
+    if (this.#malformed.has(socket)) return
+    this.#malformed.add(socket)
+    if (!await this.#turns.waitForLast(socket) || !socket.writable) return
     const status = error.code === 'HPE_HEADER_OVERFLOW' ? 431 : error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400
     socket.end(this.#options.onMalformed(status, error.code ?? 'malformed'))
   }
