Close no connection whose answer is not written at a stop

A guest that read its answer slowly got only a part of it when the host stopped, although the rest was in the process and there was time: when a listener closed, it closed the connections that the HTTP library counts as idle, and the library counts one as idle as soon as its answer has been handed over, also while the bytes wait in the buffer of the process for the guest's link. The library's own `close` does that, too. Entry hosts of both forms, control hosts and the calls between hosts use this listener.

The listener now closes its socket without that, and closes idle connections once every answer has been written. Until then requests on kept connections are still answered, with `connection: close`.

--- a/__tests__/transport/HttpListener.test.ts
+++ b/__tests__/transport/HttpListener.test.ts
@@ -109,3 +109,19 @@
   assert.deepEqual(guest.text().match(/answer to \/\w+/g)?.map((part) => part.replace(/HTTP$/, '')), ['answer to /first', 'answer to /second', 'answer to /third'])
   guest.socket.destroy()
 })
+
+// Guards against a stop that closes connections whose answer the process has not written yet.
+test('an answer that its guest reads slowly is not cut off when the listener closes', async (context) => {
+  const length = 24_000_000
+  const listener = await openListener(context, async (_request, response) => { response.end(Buffer.alloc(length, 'x')) })
+  const guest = openGuest()
+  guest.socket.write(REQUEST)
+  await once(guest.socket, 'data')
+  guest.socket.pause()
+  const closed = listener.closeWithin(WAIT_MILLISECONDS)
+  await sleep(RUN_MILLISECONDS)
+  guest.socket.resume()
+  assert.equal(await guest.ended, undefined)
+  assert.equal(guest.text().length - guest.text().indexOf('\r\n\r\n') - 4, length)
+  await closed
+})
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -12,7 +12,7 @@
 import { HostRelay } from './HostRelay.js'
 import { HostSheets } from './HostSheets.js'
 import { createTransport } from './createTransport.js'
-import { waitUntil } from './waitUntil.js'
+import { waitUntil } from '../utils/waitUntil.js'
 
 const PUBLISH_INTERVAL_MILLISECONDS = 250
 const OPERATOR_CLOSE_TIMEOUT_MILLISECONDS = 500
--- a/src/transport/HttpListener.ts
+++ b/src/transport/HttpListener.ts
@@ -1,10 +1,12 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { Server as SocketServer } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { HibiscusrelayError } from '../errors/HibiscusrelayError.js'
 import { errorTexts } from '../errors/errorTexts.js'
 import { Step } from '../types/Step.js'
 import { splitAddress } from '../utils/splitAddress.js'
+import { waitUntil } from '../utils/waitUntil.js'
 import { ConnectionTurns } from './ConnectionTurns.js'
 
 const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 30_000
@@ -91,9 +93,11 @@
    */
   async closeWithin (timeoutMilliseconds: number): Promise<void> {
     this.beginClose()
-    const closed = new Promise<void>((resolve) => { this.#server.close(() => { resolve() }) })
-    this.#server.closeIdleConnections()
-    await Promise.race([closed, sleep(Math.max(0, timeoutMilliseconds), undefined, { ref: false })])
+    const deadline = performance.now() + timeoutMilliseconds
+    // The HTTP server counts a connection as idle whose answer waits in its buffer, and its own `close` destroys idle connections.
+    const closed = new Promise<void>((resolve) => { SocketServer.prototype.close.call(this.#server, () => { resolve() }) })
+    if (await waitUntil(() => this.#responses.size === 0, deadline)) this.#server.closeIdleConnections()
+    await Promise.race([closed, sleep(Math.max(0, deadline - performance.now()), undefined, { ref: false })])
   }
 
   /** Closes all connections at once and aborts their requests. */
