Read what callers still send before a connection is closed

Guests lost answers that the host had written: a refusal while the body went on for longer than 300 ms, a refusal of unreadable bytes with more behind them, and the end of an answer with `connection: close` when the guest had already sent its next request. Cause: the connection was closed as soon as the kernel had the answer. A kernel resets a connection that is closed with unread bytes, or to which more comes, and drops what it has not sent.

The listener now ends its direction of the connection only, and reads and discards what comes until the caller closes, too, is silent for 1 s or 10 s have passed. Requests that arrive then aren't handled. A stop waits for these connections within its time.

Evidence: on the code before, 'an early answer reaches a guest that reads it only after its body' and 'a refusal of bytes that are no request reaches a guest that sends more of them' ended with EPIPE, 'a request that crosses the end of its connection does not cut the answer before it' with ECONNRESET, each without the whole answer.

--- a/__tests__/transport/HttpListener.test.ts
+++ b/__tests__/transport/HttpListener.test.ts
@@ -4,6 +4,7 @@
 import { connect, type Socket } from 'node:net'
 import { test, type TestContext } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { endAfterRequest } from '../../src/transport/endAfterRequest.js'
 import { HttpListener } from '../../src/transport/HttpListener.js'
 
 /** Each test file runs in a process of its own, and so has an address of its own. */
@@ -125,3 +126,71 @@
   assert.equal(guest.text().length - guest.text().indexOf('\r\n\r\n') - 4, length)
   await closed
 })
+
+/** Sends bytes for a while and reads only afterwards, as a guest that writes its whole request first. */
+async function sendBeforeReading ({ socket }: Guest, head: string, piece: string, milliseconds: number): Promise<void> {
+  socket.pause()
+  socket.write(head)
+  const endsAt = performance.now() + milliseconds
+  while (performance.now() < endsAt && socket.writable) {
+    await sleep(20)
+    if (socket.writable) socket.write(piece)
+  }
+  socket.resume()
+}
+
+// Guards against a reset that takes away an early answer while the body goes on.
+test('an early answer reaches a guest that reads it only after its body', async (context) => {
+  await openListener(context, async (request, response) => {
+    response.setHeader('connection', 'close').writeHead(503, { 'content-length': 5 })
+    await endAfterRequest(request, response, Buffer.from('early'))
+  })
+  const guest = openGuest()
+  await sendBeforeReading(guest, 'POST /first HTTP/1.1\r\nhost: h\r\ncontent-length: 1000000\r\n\r\n', 'x'.repeat(1_000), 1_200)
+  assert.match(guest.text(), /^$/)
+  guest.socket.end()
+  assert.equal(await guest.ended, undefined)
+  assert.match(guest.text(), /^HTTP\/1.1 503 [^]*early$/)
+})
+
+// Guards against a reset that takes away a refusal while bytes that can't be read go on.
+test('a refusal of bytes that are no request reaches a guest that sends more of them', async (context) => {
+  await openListener(context, answerLate)
+  const guest = openGuest()
+  await sendBeforeReading(guest, '\u0001\u0002 no request\r\n\r\n', 'x'.repeat(1_000), 600)
+  guest.socket.end()
+  assert.equal(await guest.ended, undefined)
+  assert.equal(guest.text(), MALFORMED_ANSWER)
+})
+
+// Guards against a reset that cuts the answer before a closed connection, when the guest sends its next request meanwhile.
+test('a request that crosses the end of its connection does not cut the answer before it', async (context) => {
+  const length = 3_000_000
+  const served: string[] = []
+  await openListener(context, async (request, response) => {
+    served.push(request.url ?? '')
+    response.setHeader('connection', 'close').end(Buffer.alloc(length, 'x'))
+  })
+  const guest = openGuest()
+  await sendBeforeReading(guest, REQUEST, REQUEST.replace('first', 'second'), 400)
+  guest.socket.end()
+  assert.equal(await guest.ended, undefined)
+  assert.equal(guest.text().length - guest.text().indexOf('\r\n\r\n') - 4, length)
+  assert.deepEqual(served, ['/first'])
+})
+
+// Guards against connections that stay open for guests that never close them.
+test('a connection whose guest does not close it is closed after its answer', async (context) => {
+  await openListener(context, async (_request, response) => { response.setHeader('connection', 'close').end('answer') })
+  const socket = connect({ host: HOST, port: PORT, allowHalfOpen: true })
+  const closed = new Promise<string>((resolve) => { socket.once('close', () => { resolve('closed') }) })
+  socket.on('error', () => {})
+  socket.write(REQUEST)
+  await once(socket.resume(), 'end')
+  await sleep(1_500)
+  // Only a write shows a guest that the host no longer reads.
+  socket.write(REQUEST)
+  await sleep(50)
+  if (socket.writable) socket.write(REQUEST)
+  assert.equal(await Promise.race([closed, sleep(500, 'still open')]), 'closed')
+})
--- a/src/transport/HttpListener.ts
+++ b/src/transport/HttpListener.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { Server as SocketServer } from 'node:net'
+import { Server as SocketServer, type Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { HibiscusrelayError } from '../errors/HibiscusrelayError.js'
@@ -7,6 +7,7 @@
 import { Step } from '../types/Step.js'
 import { splitAddress } from '../utils/splitAddress.js'
 import { waitUntil } from '../utils/waitUntil.js'
+import { closeAfterCaller } from './closeAfterCaller.js'
 import { ConnectionTurns } from './ConnectionTurns.js'
 
 const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 30_000
@@ -31,6 +32,8 @@
   readonly #options: HttpListenerOptions
   readonly #responses = new Set<ServerResponse>()
   readonly #turns = new ConnectionTurns()
+  /** Connections whose last answer has been written, while their callers may still send. */
+  readonly #leaving = new Set<Socket>()
   /** Connections that sent bytes which are no valid request. */
   readonly #malformed = new WeakSet<Duplex>()
   #isClosing = false
@@ -45,6 +48,10 @@
       requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
       noDelay: true
     }, (request, response) => { this.#serve(request, response).catch(() => { response.destroy() }) })
+    this.#server.on('connection', (socket) => {
+      // The HTTP library calls this method behind the last answer.
+      socket.destroySoon = () => { this.#endConnection(socket) }
+    })
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       this.#refuseMalformed(error, socket).catch(() => { socket.destroy() })
     })
@@ -96,7 +103,7 @@
     const deadline = performance.now() + timeoutMilliseconds
     // The HTTP server counts a connection as idle whose answer waits in its buffer, and its own `close` destroys idle connections.
     const closed = new Promise<void>((resolve) => { SocketServer.prototype.close.call(this.#server, () => { resolve() }) })
-    if (await waitUntil(() => this.#responses.size === 0, deadline)) this.#server.closeIdleConnections()
+    if (await waitUntil(() => this.#responses.size + this.#leaving.size === 0, deadline)) this.#server.closeIdleConnections()
     await Promise.race([closed, sleep(Math.max(0, deadline - performance.now()), undefined, { ref: false })])
   }
 
@@ -106,7 +113,10 @@
   }
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    if (!await this.#turns.take(request, response)) return
+    if (!await this.#turns.take(request, response)) {
+      request.resume()
+      return
+    }
     this.#responses.add(response)
     if (this.#isClosing) askToDisconnect(response)
     response.once('close', () => { this.#responses.delete(response) })
@@ -114,17 +124,29 @@
   }
 
   async #refuseMalformed (error: NodeJS.ErrnoException, socket: Duplex): Promise<void> {
-    if (!socket.writable || error.code === 'ECONNRESET') {
+    if (!isParserError(error)) {
       socket.destroy()
       return
     }
     // The parser reports each further segment, too.
-    if (this.#malformed.has(socket)) return
+    if (this.#malformed.has(socket) || !socket.writable) return
     this.#malformed.add(socket)
     if (!await this.#turns.waitForLast(socket) || !socket.writable) return
     const status = error.code === 'HPE_HEADER_OVERFLOW' ? 431 : error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400
-    socket.end(this.#options.onMalformed(status, error.code ?? 'malformed'))
+    socket.write(this.#options.onMalformed(status, error.code ?? 'malformed'))
+    this.#endConnection(socket as Socket)
   }
+
+  #endConnection (socket: Socket): void {
+    if (!socket.writable) return
+    this.#leaving.add(socket)
+    socket.once('close', () => { this.#leaving.delete(socket) })
+    closeAfterCaller(socket)
+  }
+}
+
+function isParserError ({ code }: NodeJS.ErrnoException): boolean {
+  return code === 'ERR_HTTP_REQUEST_TIMEOUT' || code?.startsWith('HPE_') === true
 }
 
 function askToDisconnect (response: ServerResponse): void {
