End the run of a caller that leaves within its next request

An upstream worked on for a guest that had gone: since refusals wait for the answers before them, a guest that left in the middle of its next request was still waited for, because the parser reports the end of its connection as bytes that can't be read.

Its connection now ends as that of a guest that leaves between two requests does, and the request in flight is cancelled.

--- a/__tests__/transport/HttpListener.test.ts
+++ b/__tests__/transport/HttpListener.test.ts
@@ -194,3 +194,21 @@
   if (socket.writable) socket.write(REQUEST)
   assert.equal(await Promise.race([closed, sleep(500, 'still open')]), 'closed')
 })
+
+// Guards against work that goes on for a guest that has gone in the middle of its next request.
+test('a guest that leaves within its next request ends the one before', async (context) => {
+  let endedAt = Number.POSITIVE_INFINITY
+  await openListener(context, async (_request, response) => {
+    response.once('close', () => { endedAt = performance.now() })
+    await sleep(WAIT_MILLISECONDS, undefined, { ref: false })
+    response.end()
+  })
+  const guest = openGuest()
+  guest.socket.write(REQUEST + REQUEST.slice(0, 20))
+  await sleep(RUN_MILLISECONDS)
+  const leftAt = performance.now()
+  guest.socket.end()
+  await guest.ended
+  await sleep(RUN_MILLISECONDS)
+  assert.ok(endedAt - leftAt < 2 * RUN_MILLISECONDS, `${endedAt - leftAt} ms`)
+})
--- a/src/transport/HttpListener.ts
+++ b/src/transport/HttpListener.ts
@@ -128,6 +128,11 @@
       socket.destroy()
       return
     }
+    if (socket.readableEnded && this.#isAnswering(socket)) {
+      // As the library does for a caller that leaves between two requests.
+      socket.end()
+      return
+    }
     // The parser reports each further segment, too.
     if (this.#malformed.has(socket) || !socket.writable) return
     this.#malformed.add(socket)
@@ -137,6 +142,10 @@
     this.#endConnection(socket as Socket)
   }
 
+  #isAnswering (socket: Duplex): boolean {
+    return [...this.#responses].some((response) => response.socket === socket)
+  }
+
   #endConnection (socket: Socket): void {
     if (!socket.writable) return
     this.#leaving.add(socket)
