Accept the waiting connections before a listener closes

Guests that had connected, and had sent a request, were reset when a host stopped: connections that the kernel has accepted wait for the process, and all that wait when the listener closes are reset. The event loop of Node.js 20 accepts one connection per iteration, so that many wait at a host that was late for a moment.

The listener now accepts them first: iterations of the event loop until one brings no connection, up to the length of the queue.

--- a/__tests__/transport/HttpListener.test.ts
+++ b/__tests__/transport/HttpListener.test.ts
@@ -212,3 +212,18 @@
   await sleep(RUN_MILLISECONDS)
   assert.ok(endedAt - leftAt < 2 * RUN_MILLISECONDS, `${endedAt - leftAt} ms`)
 })
+
+// Guards against connections that the kernel has accepted and that are reset because the process was late.
+test('connections that wait to be accepted are served when the listener closes', async (context) => {
+  const listener = await openListener(context, answerLate)
+  const guests = Array.from({ length: 20 }, () => openGuest())
+  for (const { socket } of guests) socket.write(REQUEST)
+  // The kernel accepts the connections while the process does nothing.
+  process.nextTick(() => {
+    const busyUntil = performance.now() + RUN_MILLISECONDS
+    while (performance.now() < busyUntil);
+    listener.closeWithin(WAIT_MILLISECONDS).catch(() => {})
+  })
+  assert.deepEqual(await Promise.all(guests.map(({ ended }) => ended)), guests.map(() => undefined))
+  for (const { text } of guests) assert.match(text(), /^HTTP\/1.1 200 /)
+})
--- a/src/transport/HttpListener.ts
+++ b/src/transport/HttpListener.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Server as SocketServer, type Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { setTimeout as sleep } from 'node:timers/promises'
+import { setImmediate as nextCheckPhase, setTimeout as sleep } from 'node:timers/promises'
 import { HibiscusrelayError } from '../errors/HibiscusrelayError.js'
 import { errorTexts } from '../errors/errorTexts.js'
 import { Step } from '../types/Step.js'
@@ -13,6 +13,8 @@
 const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 30_000
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000
 const REQUEST_TIMEOUT_MILLISECONDS = 60_000
+/** Connections that the kernel accepts for a listener of Node.js while the process is late. */
+const ACCEPT_QUEUE_LENGTH = 511
 
 /** Settings of an {@link HttpListener}. */
 export interface HttpListenerOptions {
@@ -36,6 +38,7 @@
   readonly #leaving = new Set<Socket>()
   /** Connections that sent bytes which are no valid request. */
   readonly #malformed = new WeakSet<Duplex>()
+  #accepted = 0
   #isClosing = false
 
   /** @param options - address, header limit and handlers */
@@ -49,6 +52,7 @@
       noDelay: true
     }, (request, response) => { this.#serve(request, response).catch(() => { response.destroy() }) })
     this.#server.on('connection', (socket) => {
+      this.#accepted += 1
       // The HTTP library calls this method behind the last answer.
       socket.destroySoon = () => { this.#endConnection(socket) }
     })
@@ -101,6 +105,7 @@
   async closeWithin (timeoutMilliseconds: number): Promise<void> {
     this.beginClose()
     const deadline = performance.now() + timeoutMilliseconds
+    await this.#acceptWaiting(deadline)
     // The HTTP server counts a connection as idle whose answer waits in its buffer, and its own `close` destroys idle connections.
     const closed = new Promise<void>((resolve) => { SocketServer.prototype.close.call(this.#server, () => { resolve() }) })
     if (await waitUntil(() => this.#responses.size + this.#leaving.size === 0, deadline)) this.#server.closeIdleConnections()
@@ -112,6 +117,18 @@
     this.#server.closeAllConnections()
   }
 
+  /** Accepts connections that the kernel has accepted; it resets those that wait when the listener closes. */
+  async #acceptWaiting (deadline: number): Promise<void> {
+    const maximum = this.#accepted + ACCEPT_QUEUE_LENGTH
+    let accepted
+    do {
+      accepted = this.#accepted
+      // The first check phase ends this iteration of the event loop, the second one follows the next poll phase, which accepts one.
+      await nextCheckPhase()
+      await nextCheckPhase()
+    } while (accepted < this.#accepted && this.#accepted < maximum && performance.now() < deadline)
+  }
+
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (!await this.#turns.take(request, response)) {
       request.resume()
