--- a/src/transport/HttpListener.ts
+++ b/src/transport/HttpListener.ts
@@ -1,14 +1,20 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { Server as SocketServer, type Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { setTimeout as sleep } from 'node:timers/promises'
+import { setImmediate as nextCheckPhase, setTimeout as sleep } from 'node:timers/promises'
 import { HibiscusrelayError } from '../errors/HibiscusrelayError.js'
 import { errorTexts } from '../errors/errorTexts.js'
 import { Step } from '../types/Step.js'
 import { splitAddress } from '../utils/splitAddress.js'
+import { waitUntil } from '../utils/waitUntil.js'
+import { closeAfterCaller } from './closeAfterCaller.js'
+import { ConnectionTurns } from './ConnectionTurns.js'
 
 const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 30_000
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000
 const REQUEST_TIMEOUT_MILLISECONDS = 60_000
+/** Connections that the kernel accepts for a listener of Node.js while the process is late. */
+const ACCEPT_QUEUE_LENGTH = 511
 
 /** Settings of an {@link HttpListener}. */
 export interface HttpListenerOptions {
@@ -27,6 +33,12 @@
   readonly #server: Server
   readonly #options: HttpListenerOptions
   readonly #responses = new Set<ServerResponse>()
+  readonly #turns = new ConnectionTurns()
+  /** Connections whose last answer has been written, while their callers may still send. */
+  readonly #leaving = new Set<Socket>()
+  /** Connections that sent bytes which are no valid request. */
+  readonly #malformed = new WeakSet<Duplex>()
+  #accepted = 0
   #isClosing = false
 
   /** @param options - address, header limit and handlers */
@@ -39,7 +51,14 @@
       requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
       noDelay: true
     }, (request, response) => { this.#serve(request, response).catch(() => { response.destroy() }) })
-    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => { this.#refuseMalformed(error, socket) })
+    this.#server.on('connection', (socket) => {
+      this.#accepted += 1
+      // The HTTP library calls this method behind the last answer.
+      socket.destroySoon = () => { this.#endConnection(socket) }
+    })
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      this.#refuseMalformed(error, socket).catch(() => { socket.destroy() })
+    })
   }
 
   /** Number of requests in flight. */
@@ -85,9 +104,12 @@
    */
   async closeWithin (timeoutMilliseconds: number): Promise<void> {
     this.beginClose()
-    const closed = new Promise<void>((resolve) => { this.#server.close(() => { resolve() }) })
-    this.#server.closeIdleConnections()
-    await Promise.race([closed, sleep(Math.max(0, timeoutMilliseconds), undefined, { ref: false })])
+    const deadline = performance.now() + timeoutMilliseconds
+    await this.#acceptWaiting(deadline)
+    // The HTTP server counts a connection as idle whose answer waits in its buffer, and its own `close` destroys idle connections.
+    const closed = new Promise<void>((resolve) => { SocketServer.prototype.close.call(this.#server, () => { resolve() }) })
+    if (await waitUntil(() => this.#responses.size + this.#leaving.size === 0, deadline)) this.#server.closeIdleConnections()
+    await Promise.race([closed, sleep(Math.max(0, deadline - performance.now()), undefined, { ref: false })])
   }
 
   /** Closes all connections at once and aborts their requests. */
@@ -95,21 +117,62 @@
     this.#server.closeAllConnections()
   }
 
+  /** Accepts connections that the kernel has accepted; it resets those that wait when the listener closes. */
+  async #acceptWaiting (deadline: number): Promise<void> {
+    const maximum = this.#accepted + ACCEPT_QUEUE_LENGTH
+    let accepted
+    do {
+      accepted = this.#accepted
+      // The first check phase ends this iteration of the event loop, the second one follows the next poll phase, which accepts one.
+      await nextCheckPhase()
+      await nextCheckPhase()
+    } while (accepted < this.#accepted && this.#accepted < maximum && performance.now() < deadline)
+  }
+
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (!await this.#turns.take(request, response)) {
+      request.resume()
+      return
+    }
     this.#responses.add(response)
     if (this.#isClosing) askToDisconnect(response)
     response.once('close', () => { this.#responses.delete(response) })
     await this.#options.handle(request, response)
   }
 
-  #refuseMalformed (error: NodeJS.ErrnoException, socket: Duplex): void {
-    if (!socket.writable || error.code === 'ECONNRESET') {
+  async #refuseMalformed (error: NodeJS.ErrnoException, socket: Duplex): Promise<void> {
+    if (!isParserError(error)) {
       socket.destroy()
       return
     }
+    if (socket.readableEnded && this.#isAnswering(socket)) {
+      // As the library does for a caller that leaves between two requests.
+      socket.end()
+      return
+    }
+    // The parser reports each further segment, too.
+    if (this.#malformed.has(socket) || !socket.writable) return
+    this.#malformed.add(socket)
+    if (!await this.#turns.waitForLast(socket) || !socket.writable) return
     const status = error.code === 'HPE_HEADER_OVERFLOW' ? 431 : error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400
-    socket.end(this.#options.onMalformed(status, error.code ?? 'malformed'))
+    socket.write(this.#options.onMalformed(status, error.code ?? 'malformed'))
+    this.#endConnection(socket as Socket)
+  }
+
+  #isAnswering (socket: Duplex): boolean {
+    return [...this.#responses].some((response) => response.socket === socket)
   }
+
+  #endConnection (socket: Socket): void {
+    if (!socket.writable) return
+    this.#leaving.add(socket)
+    socket.once('close', () => { this.#leaving.delete(socket) })
+    closeAfterCaller(socket)
+  }
+}
+
+function isParserError ({ code }: NodeJS.ErrnoException): boolean {
+  return code === 'ERR_HTTP_REQUEST_TIMEOUT' || code?.startsWith('HPE_') === true
 }
 
 function askToDisconnect (response: ServerResponse): void {
