Keep a reset of an idle connection from failing the requests that wait for it

What callers saw: when an upstream reset a kept connection just before a request was written on it, the request was not sent again there: it counted as an upstream that can't be reached. With no other upstream the guest got a 503; the upstream was charged with a failure, and in the platform form the crash table said that no connection to it could be made.

Cause: the HTTP library fails all requests that wait for a connection when that connection ends with an error code that it does not know as the end of a connection, and the reset's code was replaced by such a code. A wait is always there, because the library looks at an idle connection for one turn of the event loop before it writes.

Evidence: keptConnectionEnds.test.ts on the code before, real sockets: "unreachable, written: false, Error: read ECONNRESET" for a reset just before and during the wait; the ends in order, second answers, parts of them, refusals and bytes that are not HTTP held.

An error of a request that was written is never taken for an unreachable peer now, whatever its code, and one of connections that this host closed itself is not blamed on the upstream.

--- a/src/errors/ExchangeError.ts
+++ b/src/errors/ExchangeError.ts
@@ -13,7 +13,7 @@
   Cancelled = 'cancelled',
   /** A check right before the first byte rejected the request. */
   Forbidden = 'forbidden',
-  /** The connection was ready so late that the head no longer told the time left; the exchange begins again with a new one. */
+  /** No byte left the host: the connection was ready so late that the head no longer told the time left, or had ended; the exchange begins again. */
   Stale = 'stale'
 }
 
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -3,11 +3,10 @@
 import type { Dispatcher } from 'undici'
 import { errorTexts } from '../errors/errorTexts.js'
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
+import { CLOSED_ERROR_CODES, UNSENT_ERROR_CODE } from './connectionErrorCodes.js'
 import type { ExchangeAnswer, ExchangeRequest } from './exchange.js'
 import type { HeaderField } from './RelayedRequest.js'
 
-const UNREACHABLE_ERROR_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL'])
-
 /** Buffer of an answer that is passed on while it arrives: what its receiver does not read stays at the sender. */
 const STREAM_BUFFER_BYTES = 16_384
 const ANSWER_DISCARDED = 'the rest of the answer is not needed'
@@ -107,7 +106,7 @@
     if (this.#hasEnded) return
     const failure = this.#failure ?? classifyError(cause, this.#isWritten)
     this.#markEnded(failure)
-    const error = new ExchangeError(failure, this.#request.peer, this.#isWritten, cause)
+    const error = new ExchangeError(failure, this.#request.peer, this.#isWritten && failure !== ExchangeFailure.Stale, cause)
     this.#stream?.destroy(error)
     this.#reject(error)
   }
@@ -187,9 +186,11 @@
   }
 }
 
-function classifyError (cause: NodeJS.ErrnoException, isWritten: boolean): ExchangeFailure {
-  if (!isWritten || UNREACHABLE_ERROR_CODES.has(cause.code ?? '')) return ExchangeFailure.Unreachable
-  return ExchangeFailure.Broken
+function classifyError ({ code = '' }: NodeJS.ErrnoException, isWritten: boolean): ExchangeFailure {
+  if (code === UNSENT_ERROR_CODE) return ExchangeFailure.Stale
+  if (isWritten) return ExchangeFailure.Broken
+  // The host itself closed the connections, as the upstream is not in use any more.
+  return CLOSED_ERROR_CODES.has(code) ? ExchangeFailure.Forbidden : ExchangeFailure.Unreachable
 }
 
 function hasNoBody (method: string, status: number): boolean {
