Don't write a request on a connection with unasked bytes or an unsent rest

What callers saw, each on a kept connection: - An upstream that went on writing empty lines behind its answer spoiled the next request, which counted as written without an answer: "broken, written: true, received 262144 bytes without a response head". - A reset that the kernel knew of, but the process did not, made the write of the next request fail: "broken, written: true, write ECONNRESET". No byte of it had left the host, and a request that may run once was answered as unknown. - A request that came behind one whose upstream had answered before it read the whole body waited behind the rest of that body in the buffer of the process: "timed-out, written: true", and it never left the host.

Cause: the HTTP library takes a connection for free as soon as an answer is complete, and a request for written as soon as it is handed to the socket.

Fix: ConnectionGuard counts the bytes of a connection. One that received bytes behind an answer, or whose buffer holds a rest of a request, is closed and not used again.

--- a/__tests__/relay/keptConnectionEnds.test.ts
+++ b/__tests__/relay/keptConnectionEnds.test.ts
@@ -24,7 +24,8 @@
   'writes its answer once more': (socket) => { socket.write(composeAnswer('first')) },
   'writes a part of its answer once more': (socket) => { socket.write(composeAnswer('first').slice(0, 20)) },
   'refuses an idle connection': (socket) => { socket.end('HTTP/1.1 408 Request Timeout\r\nconnection: close\r\n\r\n') },
-  'writes what is not HTTP': (socket) => { socket.write('not HTTP\r\n\r\n') }
+  'writes what is not HTTP': (socket) => { socket.write('not HTTP\r\n\r\n') },
+  'writes without end': (socket) => { socket.write('\r\n'.repeat(1_000_000)) }
 }
 
 /** When that meets a request. */
@@ -89,3 +90,29 @@
     })
   }
 }
+
+// Guards against a request whose bytes the kernel refused, as it knew of the reset by then, and that is answered as if it might have run.
+test('a request is answered when its connection was reset right before it is written', async (context) => {
+  const { send, sockets, received } = await openAttempt(context)
+  assert.equal(await send('first'), 'first')
+  await sleep(10)
+  const second = await new Promise<string>((resolve) => {
+    setTimeout(() => {
+      // Runs between the last look at the connection and the write.
+      setImmediate(() => { sockets[0]!.resetAndDestroy() })
+      resolve(send('second'))
+    })
+  })
+  assert.equal(second, 'second')
+  assert.deepEqual(received, ['first', 'second'])
+})
+
+// Guards against requests that wait behind bytes of an earlier one that its upstream answered without reading them.
+test('a request is not written behind the unsent rest of an earlier one', async (context) => {
+  const { send, received } = await openAttempt(context, (socket, id) => {
+    socket.write(composeAnswer(id))
+    if (id === 'first') socket.pause()
+  })
+  assert.deepEqual(await Promise.all([send('first', Buffer.alloc(20_000_000)), send('second')]), ['first', 'second'])
+  assert.deepEqual(received, ['first', 'second'])
+})
--- a/src/errors/errorTexts.ts
+++ b/src/errors/errorTexts.ts
@@ -2,6 +2,7 @@
 export const errorTexts = {
   peerUnreachable: (method: string) => `the peer did not answer ${method}`,
   framingLimitExceeded: (bytes: number) => `received ${bytes} bytes without a response head, body data or an end`,
+  unaskedBytes: () => 'received bytes on a connection without a request',
   peerRefused: (method: string, message: string) => `the peer refused ${method}: ${message}`,
   tooManyLargeAnswers: () => 'too many large answers are passed on at the same time',
   peerAnswerTooLarge: (bytes: number) => `the answer of the peer exceeds ${bytes} bytes`,
--- a/src/relay/FramingLimitClient.ts
+++ b/src/relay/FramingLimitClient.ts
@@ -1,68 +1,60 @@
-import type { Socket } from 'node:net'
 import { Client, type buildConnector, type Dispatcher } from 'undici'
-import { errorTexts } from '../errors/errorTexts.js'
-
-/** Maximum number of bytes received without a response head, body data or an end: a head has at most 16 KB, the rest allows for buffers. */
-const MAXIMUM_FRAMING_BYTES = 262_144
+import { ConnectionGuard } from './ConnectionGuard.js'
 
 /**
- * A client that closes its connection when too many received bytes make no progress. The HTTP library limits header
- * fields, but neither the reason phrase of a status line nor the extension of a chunk, which may go on until the deadline.
+ * A client that closes its connection when too many received bytes make no progress, and when it may not be used again. The
+ * HTTP library limits header fields, but neither the reason phrase of a status line nor the extension of a chunk, which may
+ * go on until the deadline.
  */
 export class FramingLimitClient extends Client {
-  readonly #progress: { record: () => void }
+  readonly #current: { guard?: ConnectionGuard }
 
   /**
    * @param origin - URL of the server
    * @param options - options of the library's client; `connect` opens the connections
    */
   constructor (origin: URL, options: Client.Options & { connect: buildConnector.connector }) {
-    const progress = { record: () => {} }
-    super(origin, { ...options, connect: connectWithFramingLimit(options.connect, progress) })
-    this.#progress = progress
+    const current: { guard?: ConnectionGuard } = {}
+    super(origin, { ...options, connect: connectWithGuard(options.connect, current) })
+    this.#current = current
   }
 
   override dispatch (options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-    return super.dispatch(options, trackProgress(handler, () => { this.#progress.record() }))
+    return super.dispatch(options, trackProgress(handler, this.#current))
   }
 }
 
-function connectWithFramingLimit (connect: buildConnector.connector, progress: { record: () => void }): buildConnector.connector {
+function connectWithGuard (connect: buildConnector.connector, current: { guard?: ConnectionGuard }): buildConnector.connector {
   return (options, callback) => {
     connect(options, (...result: Parameters<buildConnector.Callback>) => {
       const [error, socket] = result
       // A failed connection is reported with an error and without a socket.
-      if (error === null && socket !== null) progress.record = limitFraming(socket)
+      if (error === null && socket !== null) current.guard = new ConnectionGuard(socket)
       callback(...result)
     })
   }
 }
 
-/**
- * Destroys the socket when too many bytes arrive without progress.
- *
- * @returns a function that records progress at the number of bytes read so far
- */
-function limitFraming (socket: Socket): () => void {
-  let bytesAtProgress = 0
-  socket.on('readable', () => {
-    if (socket.bytesRead - bytesAtProgress > MAXIMUM_FRAMING_BYTES) socket.destroy(new Error(errorTexts.framingLimitExceeded(MAXIMUM_FRAMING_BYTES)))
-  })
-  return () => { bytesAtProgress = socket.bytesRead }
-}
-
-/** Handler methods whose calls mean progress, with their names in both handler interfaces of the library. */
-const PROGRESS_METHODS = new Set<string | symbol>(['onConnect', 'onRequestStart', 'onData', 'onResponseData'])
+/** Handler methods by what their calls mean, with their names in both handler interfaces of the library. */
+const START_METHODS = new Set<string | symbol>(['onConnect', 'onRequestStart'])
+const PROGRESS_METHODS = new Set<string | symbol>(['onData', 'onResponseData'])
+const END_METHODS = new Set<string | symbol>(['onComplete', 'onResponseEnd'])
 const MINIMUM_FINAL_STATUS = 200
 
-/** Wraps a handler to record progress. The library passes handlers of either of two interfaces, so methods are matched by name. */
-function trackProgress (handler: Dispatcher.DispatchHandler, recordProgress: () => void): Dispatcher.DispatchHandler {
+/** Wraps a handler to tell the guard of the connection. The library passes handlers of either of two interfaces, so methods are matched by name. */
+function trackProgress (handler: Dispatcher.DispatchHandler, current: { guard?: ConnectionGuard }): Dispatcher.DispatchHandler {
   return new Proxy(handler, {
     get: (target, name) => {
       const value: unknown = Reflect.get(target, name)
       if (typeof value !== 'function') return value
       return (...parameters: unknown[]): unknown => {
-        if (PROGRESS_METHODS.has(name) || isFinalHead(name, parameters)) recordProgress()
+        if (START_METHODS.has(name)) {
+          current.guard?.assertQuiet()
+          value.apply(target, parameters)
+          return current.guard?.begin()
+        }
+        if (END_METHODS.has(name)) current.guard?.end()
+        else if (PROGRESS_METHODS.has(name) || isFinalHead(name, parameters)) current.guard?.recordProgress()
         return value.apply(target, parameters)
       }
     }
