Answer a request truthfully when the host shows a defect

What callers saw: any error that the host did not expect ended the guest's connection without an answer in the platform form, whether the request had been passed on or not. The daemon form answered "not-run" also for a request that had been passed on and may have run, and a caller that trusts this runs a one-time action twice. Headers of the upstream's answer that had been set by then went out with that refusal.

Cause: one catch around reading, relaying and answering, which did not know how far the request had come.

No input was found that leads to such an error from outside.

Fix: the catch knows whether the request was passed on: unknown (502 in the platform form) then, else not run (503 there). Headers are taken back first. An answer that has begun is broken off as before. The log line says both.

--- a/src/entry/GuestListener.ts
+++ b/src/entry/GuestListener.ts
@@ -8,7 +8,7 @@
 import { chooseRetryAfter } from '../placement/chooseRetryAfter.js'
 import { deliverAnswer } from '../relay/deliverBody.js'
 import { isHopByHopHeader } from '../relay/isHopByHopHeader.js'
-import { refuse } from '../relay/refuse.js'
+import { answerUnknown, refuse } from '../relay/refuse.js'
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
 import { countHeadBytes } from '../guest/countHeadBytes.js'
 import { listEndToEndHeaders } from '../guest/listEndToEndHeaders.js'
@@ -22,6 +22,7 @@
 import type { EntryRequest } from './EntryRequest.js'
 
 const STATUS_UNAVAILABLE = 503
+const STATUS_UNKNOWN = 502
 /** Deadline of a request whose guest sets none. */
 const DEFAULT_DEADLINE_MILLISECONDS = 30_000
 
@@ -57,16 +58,16 @@
 
   /** Handles one HTTP request. */
   async handle (message: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { log } = this.#options
+    const progress = { isPassedOn: false }
     try {
-      await this.#serve(message, response)
+      await this.#serve(message, response, progress)
     } catch (error) {
-      log.error('guest-request-failed', { step: Step.Ingress, peer: message.socket.remoteAddress, cause: String(error) })
-      response.destroy()
+      this.#options.log.error('guest-request-failed', { step: Step.Ingress, peer: message.socket.remoteAddress, path: message.url, passedOn: progress.isPassedOn, begun: response.headersSent, cause: String(error) })
+      await this.#answerDefect(message, response, progress.isPassedOn)
     }
   }
 
-  async #serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
+  async #serve (message: IncomingMessage, response: ServerResponse, progress: { isPassedOn: boolean }): Promise<void> {
     const cancellation = new AbortController()
     response.once('close', () => { if (!response.writableFinished) cancellation.abort() })
     const memory = new BodyMemory(this.#options.bodyBytes)
@@ -74,11 +75,27 @@
     const request = await this.#readRequest(message, cancellation.signal, memory)
     if (typeof request === 'string') return await this.#refuse(message, response, request)
     if (await hasCallerDisconnected(message)) return this.#discardRequest(response, request)
+    progress.isPassedOn = true
     const answer = await this.#options.relay.serve(request)
     if (response.destroyed) return
     await this.#deliver(response, answer, request)
   }
 
+  /** A guest must learn from a host with a defect, too, whether its request may have run. An answer that has begun is broken off. */
+  async #answerDefect (message: IncomingMessage, response: ServerResponse, isPassedOn: boolean): Promise<void> {
+    if (response.headersSent || response.destroyed) {
+      response.destroy()
+      return
+    }
+    this.#options.counters.increment(refusalCounter(RefusalReason.InternalError))
+    const { body } = isPassedOn ? answerUnknown(RefusalReason.InternalError) : refuse(RefusalReason.InternalError)
+    for (const name of response.getHeaderNames()) response.removeHeader(name)
+    const status = isPassedOn ? STATUS_UNKNOWN : STATUS_UNAVAILABLE
+    this.#setRefusalHeaders(response, { status }, RefusalReason.InternalError, DEFAULT_DEADLINE_MILLISECONDS)
+    response.writeHead(status, { connection: 'close', 'content-type': 'application/json', 'content-length': (body as Buffer).length })
+    await endAfterRequest(message, response, body as Buffer)
+  }
+
   /** Discards a request whose guest disconnected before it was sent to an upstream. */
   #discardRequest (response: ServerResponse, { id, route, readMilliseconds }: EntryRequest): void {
     const { counters, log, known } = this.#options
--- a/src/guest/GuestInterface.ts
+++ b/src/guest/GuestInterface.ts
@@ -48,7 +48,7 @@
 }
 
 /** Refusals of requests whose body has not been read completely; their connection is closed. */
-const UNREAD_BODY_REASONS = new Set([RefusalReason.BodyTooLarge, RefusalReason.BodyTimedOut, RefusalReason.BodyMemory, RefusalReason.Stopping])
+const UNREAD_BODY_REASONS = new Set([RefusalReason.BodyTooLarge, RefusalReason.BodyTimedOut, RefusalReason.BodyMemory, RefusalReason.Stopping, RefusalReason.InternalError])
 
 /** HTTP interface of an entry host for guests and upstreams. */
 export class GuestInterface {
@@ -62,16 +62,16 @@
 
   /** Handles one HTTP request. */
   async handle (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const progress = { isPassedOn: false }
     try {
       const url = new URL(message.url ?? '', 'http://host')
       if (url.pathname === LOOKUP_PATH) await this.#answerLookup(message, url, response)
       else if (url.pathname === ANNOUNCEMENTS_PATH) await this.#handleAnnouncement(message, response)
-      else if (message.url!.startsWith(SERVICES_PATH)) await this.#serve(message, response)
+      else if (message.url!.startsWith(SERVICES_PATH)) await this.#serve(message, response, progress)
       else await this.#refuse(message, response, RefusalReason.UnknownPath)
     } catch (error) {
-      this.#options.log.error('guest-request-failed', { step: Step.Ingress, peer: message.socket.remoteAddress, cause: String(error) })
-      if (response.headersSent) response.destroy()
-      else await this.#refuse(message, response, RefusalReason.InternalError)
+      this.#options.log.error('guest-request-failed', { step: Step.Ingress, peer: message.socket.remoteAddress, path: message.url, passedOn: progress.isPassedOn, begun: response.headersSent, cause: String(error) })
+      await this.#answerDefect(message, response, progress.isPassedOn)
     }
   }
 
@@ -115,7 +115,7 @@
     else this.#sendJson(response, 200, answer)
   }
 
-  async #serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
+  async #serve (message: IncomingMessage, response: ServerResponse, progress: { isPassedOn: boolean }): Promise<void> {
     const cancellation = new AbortController()
     response.once('close', () => { if (!response.writableEnded) cancellation.abort() })
     const { limits, timings, stopWindow } = this.#options
@@ -125,6 +125,7 @@
     const request = await readGuestRequest(message, { sheet, limits, timings, stopWindow, memory, cancelled: cancellation.signal })
     if (typeof request === 'string') return await this.#refuse(message, response, request)
     if (await hasCallerDisconnected(message)) return this.#discardRequest(response, request.id)
+    progress.isPassedOn = true
     const guestPlace = sheet?.guestBlocks.findPlace(message.socket.remoteAddress ?? '')
     const answer = await this.#options.ingress.serve(request, guestPlace)
     await this.#deliver(response, answer, request.id)
@@ -155,10 +156,21 @@
     if (ticket !== undefined) response.setHeader('hibiscusrelay-ticket', ticket)
   }
 
-  /** A refused request with an idempotency key is answered as unknown: an earlier attempt may have run. */
-  async #refuse (message: IncomingMessage, response: ServerResponse, reason: RefusalReason): Promise<void> {
+  /** Answers a request at which this host showed a defect. An answer that has begun is broken off. */
+  async #answerDefect (message: IncomingMessage, response: ServerResponse, isPassedOn: boolean): Promise<void> {
+    if (response.headersSent || response.destroyed) {
+      response.destroy()
+      return
+    }
+    for (const name of response.getHeaderNames()) response.removeHeader(name)
+    await this.#refuse(message, response, RefusalReason.InternalError, isPassedOn)
+  }
+
+  /** A request that was passed on may have run; so may one with an idempotency key, in an earlier attempt. */
+  async #refuse (message: IncomingMessage, response: ServerResponse, reason: RefusalReason, isPassedOn = false): Promise<void> {
     this.#options.counters.increment(refusalCounter(reason))
-    const answer = message.headers['idempotency-key'] === undefined ? refuse(reason) : answerUnknown(reason)
+    const mayHaveRun = isPassedOn || message.headers['idempotency-key'] !== undefined
+    const answer = mayHaveRun ? answerUnknown(reason) : refuse(reason)
     if (UNREAD_BODY_REASONS.has(reason)) response.setHeader('connection', 'close')
     this.#setRefusalHeaders(response, reason)
     const body = answer.body as Buffer
