Give each call between hosts an id of its own

Cause: each call made a JSON-RPC client of its own, whose ids begin at 1, so that the check of the id always passed.

Evidence: transport/repeatedCallAnswer.test.ts on the code before: "Missing expected rejection".

Fix: the ids count the calls of the client. A call that meets a foreign answer fails; the next one gets its own.

--- a/src/transport/PeerClient.ts
+++ b/src/transport/PeerClient.ts
@@ -24,6 +24,7 @@
   /** What each peer said last; one that was started again with an earlier version accepts nothing. */
   readonly #acceptedEncodingsByAddress = new Map<string, string>()
   #bytesSent = 0
+  #callCount = 0
 
   /**
    * @param signature - signer of the calls
@@ -52,7 +53,7 @@
       if (answer.id !== request.id) throw new Error(errorTexts.answerNamesOtherCall())
       isAnswered = true
       client.receive(answer)
-    })
+    }, () => this.#nextCallId())
     try {
       return await client.request(method, parameters) as Result
     } catch (error) {
@@ -66,6 +67,12 @@
     await this.#agent.destroy()
   }
 
+  /** An answer that a peer writes once more must not name the next call on its connection. */
+  #nextCallId (): number {
+    this.#callCount += 1
+    return this.#callCount
+  }
+
   async #post (address: string, text: string, timeoutMilliseconds: number): Promise<JSONRPCResponse> {
     const { body, encoding } = encodeBody(text, this.#acceptedEncodingsByAddress.get(address) ?? '')
     const encodingHeader = encoding === undefined ? {} : { 'content-encoding': encoding }
