Close the connection of an answer that belongs to another forwarded request

What callers saw (daemon form): after one extra answer on a kept connection between hosts, each later request on it was told "unknown, answer-lost", because the connection stayed one answer behind; an answer whose head can't be read showed as a defect of the host. No guest got a foreign answer: the identifier in the head held. Owners of this project don't write answers twice, so this is a gap that a test showed.

Cause: the identifier was compared only after the whole answer, and the connection went back to use.

Evidence: relay/repeatedHopAnswer.test.ts on the code before: ran, unknown, unknown, unknown, unknown, twice; "SyntaxError: Unexpected non-whitespace character after JSON" for the third.

Fix: the head decides, as for answers of upstreams: a foreign one fails its request only, and its connection is closed.

--- a/src/relay/forwardToOwner.ts
+++ b/src/relay/forwardToOwner.ts
@@ -6,7 +6,7 @@
 import { RequestClass } from '../types/RequestClass.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { joinSignals } from '../utils/joinSignals.js'
-import { exchange, type AnswerLimits } from './exchange.js'
+import { exchange, type AnswerHead, type AnswerLimits } from './exchange.js'
 import { answerFailedExchange } from './answerFailedExchange.js'
 import type { PoisonGuard } from './PoisonGuard.js'
 import { answerUnknown, refuse } from './refuse.js'
@@ -61,10 +61,11 @@
       answerBufferBytes: owner.answerBufferBytes,
       answerBudget: owner.answerBudget,
       closeConnection: false,
+      // The connection of an answer to another request would stay one answer behind.
+      isHeadSufficient: (head) => findAnswerHead(head)?.id !== request.id,
       mayWrite: request.mayStart
     })
-    const headField = answer.headers.find(({ name }) => name === ANSWER_HEAD_HEADER)
-    const answerHead = headField === undefined ? undefined : decodeHead<RelayAnswerHead>(headField.value)
+    const answerHead = findAnswerHead(answer)
     if (answerHead?.id !== request.id) throw new ExchangeError(ExchangeFailure.Broken, owner.address, true)
     const { id, lostUpstreams, ...rest } = answerHead
     if (lostUpstreams.length > 0) owner.poison.recordLoss({ fingerprint: request.fingerprint, lostUpstreams })
@@ -81,6 +82,18 @@
   }
 }
 
+/** @returns the head that an owner sent with an answer, undefined when there is none that can be read */
+function findAnswerHead ({ headers }: AnswerHead): RelayAnswerHead | undefined {
+  const field = headers.find(({ name }) => name === ANSWER_HEAD_HEADER)
+  if (field === undefined) return undefined
+  try {
+    return decodeHead<RelayAnswerHead>(field.value)
+  } catch {
+    // The caller reports the answer as lost.
+    return undefined
+  }
+}
+
 function encodeRequestHead (request: RelayedRequest, { fromRegion, poison }: OwnerConnection): string {
   return encodeHead(createRelayHead(request, fromRegion, poison.describe(request.fingerprint).lostUpstreams))
 }
