Count and log connections that failed while no request was on them

Nothing told a request that met bytes which were there before it was written from an answer that was lost: the connection was closed without a line, and the line of a request that met another answer had no cause. Now such a connection has a counter, connections.idle-failed, and a log line with the cause, in both forms, and the line of the request says that the answer belongs to another one. Planned ends of idle connections are not counted.

--- a/__tests__/relay/keptConnectionEnds.test.ts
+++ b/__tests__/relay/keptConnectionEnds.test.ts
@@ -47,6 +47,8 @@
 interface Attempt {
   send: (id: string, body?: Buffer) => Promise<string>
   sockets: Socket[]
+  /** Causes of failures of idle connections that were reported. */
+  failures: string[]
   /** Identifiers of the requests that arrived. */
   received: string[]
 }
@@ -55,13 +57,14 @@
 async function openAttempt (context: TestContext, answer: (socket: Socket, id: string) => void = (socket, id) => { socket.write(composeAnswer(id)) }): Promise<Attempt> {
   const sockets: Socket[] = []
   const received: string[] = []
+  const failures: string[] = []
   const server = await openRawServer((socket, head) => {
     if (findId(head) === '') return
     sockets.push(socket)
     received.push(findId(head))
     answer(socket, findId(head))
   })
-  const pool = openPool(server.address, { connections: 1, connectTimeoutMilliseconds: 500 })
+  const pool = openPool(server.address, { connections: 1, connectTimeoutMilliseconds: 500, onIdleFailure: (cause) => { failures.push(cause) } })
   context.after(async () => {
     await pool.destroy()
     await server.close()
@@ -74,19 +77,20 @@
       ({ headers }) => headers.find(({ name }) => name === ID_HEADER)?.value ?? 'not an answer',
       (error: ExchangeError) => `${error.failure}, written: ${error.written}, ${String(error.cause)}`)
   }
-  return { send, sockets, received }
+  return { send, sockets, received, failures }
 }
 
 // Guards against requests that are refused, and blamed on the upstream, because a kept connection ended before they were written.
 for (const [disturbance, disturb] of Object.entries(DISTURBANCES)) {
   for (const [moment, meet] of Object.entries(MOMENTS)) {
     test(`a request is answered when the upstream ${disturbance} ${moment}`, async (context) => {
-      const { send, sockets, received } = await openAttempt(context)
+      const { send, sockets, received, failures } = await openAttempt(context)
       assert.equal(await send('first'), 'first')
       await sleep(10)
       const second = new Promise<string>((resolve) => { setTimeout(() => { meet(() => { disturb(sockets[0]!) }, () => { resolve(send('second')) }) }) })
       assert.equal(await second, 'second')
       assert.deepEqual(received, ['first', 'second'])
+      assert.equal(failures.length, disturbance === 'ends the connection' ? 0 : 1)
     })
   }
 }
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -12,6 +12,7 @@
 import { EventLoopMonitor } from '../observe/EventLoopMonitor.js'
 import type { LatencyBuckets } from '../observe/LatencyBuckets.js'
 import type { Log } from '../observe/Log.js'
+import { recordIdleFailure } from '../observe/recordIdleFailure.js'
 import type { RetryBound } from '../placement/RetryShare.js'
 import type { EntryHost } from '../registry/EntryHost.js'
 import { isGone } from '../registry/UpstreamRecord.js'
@@ -79,7 +80,7 @@
   readonly #options: EntryHostOptions
   readonly #known = new KnownState()
   readonly #loads = new UpstreamLoads(this.#known)
-  readonly #connections = new UpstreamConnections()
+  readonly #connections = new UpstreamConnections((address, cause) => { recordIdleFailure(this.#options, address, cause) })
   readonly #runs = new UpstreamRuns()
   readonly #stopWindow = new StopWindow()
   readonly #crashes = new CrashTable()
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -1,3 +1,4 @@
+import { errorTexts } from '../errors/errorTexts.js'
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
 import type { KnownState } from '../follow/KnownState.js'
 import type { StopWindow } from '../limits/StopWindow.js'
@@ -182,6 +183,7 @@
     discard(answer)
     progress.sendCount += 1
     if (kind === AnswerKind.Foreign) {
+      progress.cause = errorTexts.foreignAnswer()
       load.recordFailure(now)
       progress.recordLostAnswer(RefusalReason.AnswerLost)
       return undefined
--- a/src/entry/UpstreamConnections.ts
+++ b/src/entry/UpstreamConnections.ts
@@ -16,12 +16,24 @@
 export class UpstreamConnections {
   readonly #poolsByAddress = new Map<string, { record: UpstreamRecord, pool: Pool }>()
 
+  readonly #onIdleFailure: (address: string, cause: string) => void
+
+  /** @param onIdleFailure - called with the address and the cause when a connection fails while no request is on it */
+  constructor (onIdleFailure: (address: string, cause: string) => void = () => {}) {
+    this.#onIdleFailure = onIdleFailure
+  }
+
   /** @returns the connections to an upstream, new ones if another process has taken over its address */
   to (record: UpstreamRecord): Dispatcher {
     const existing = this.#poolsByAddress.get(record.address)
     if (existing !== undefined && existing.record.id === record.id) return existing.pool
     existing?.pool.close().catch(() => {})
-    const pool = openPool(record.address, { connections: MAXIMUM_CONNECTIONS, connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS, idleTimeoutMilliseconds: IDLE_TIMEOUT_MILLISECONDS })
+    const pool = openPool(record.address, {
+      connections: MAXIMUM_CONNECTIONS,
+      connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
+      idleTimeoutMilliseconds: IDLE_TIMEOUT_MILLISECONDS,
+      onIdleFailure: (cause) => { this.#onIdleFailure(record.address, cause) }
+    })
     this.#poolsByAddress.set(record.address, { record, pool })
     return pool
   }
--- a/src/observe/declareCounters.ts
+++ b/src/observe/declareCounters.ts
@@ -5,6 +5,8 @@
 
 /** Name of the counter of lost answers whose requests were not retried because the retry budget was used up. */
 export const RETRY_BUDGET_COUNTER = 'retry-budget.used-up'
+/** Name of the counter of kept connections to upstreams that failed, or received bytes, while no request was on them. */
+export const IDLE_CONNECTION_COUNTER = 'connections.idle-failed'
 
 /**
  * Declares the counters of all refusal reasons, retry reasons and outcomes, so that they are readable from the start.
@@ -15,6 +17,7 @@
   for (const reason of Object.values(RefusalReason)) counters.declare(refusalCounter(reason))
   for (const reason of Object.values(RetryReason)) counters.declare(retryCounter(reason))
   counters.declare(RETRY_BUDGET_COUNTER)
+  counters.declare(IDLE_CONNECTION_COUNTER)
   for (const outcome of Object.values(Outcome)) counters.declare(outcomeCounter(outcome))
 }
 
--- a/src/relay/AnnouncementHandler.ts
+++ b/src/relay/AnnouncementHandler.ts
@@ -1,5 +1,6 @@
 import type { Counters } from '../observe/Counters.js'
 import type { Log } from '../observe/Log.js'
+import { recordIdleFailure } from '../observe/recordIdleFailure.js'
 import { refusalCounter } from '../observe/declareCounters.js'
 import type { HostIdentity } from '../types/HostIdentity.js'
 import { RefusalReason } from '../types/RefusalReason.js'
@@ -115,7 +116,7 @@
     const existing = pool.upstreams.get(announcement.address)
     if (existing?.identity === announcement.identity) return existing
     if (existing !== undefined) this.#removeUpstream(pool, existing)
-    const upstream = new Upstream(announcement)
+    const upstream = new Upstream(announcement, (cause) => { recordIdleFailure(this.#options, announcement.address, cause) })
     pool.upstreams.set(announcement.address, upstream)
     this.#options.log.info('upstream-joined', { step: Step.Announce, peer: announcement.address, service: announcement.service, slots: announcement.slots })
     return upstream
--- a/src/relay/ConnectionGuard.ts
+++ b/src/relay/ConnectionGuard.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net'
 import { errorTexts } from '../errors/errorTexts.js'
-import { UNSENT_ERROR_CODE } from './connectionErrorCodes.js'
+import { CLOSING_ERROR_CODE, UNSENT_ERROR_CODE } from './connectionErrorCodes.js'
 
 /** Maximum number of bytes received without a response head, body data or an end: a head has at most 16 KB, the rest allows for buffers. */
 const MAXIMUM_FRAMING_BYTES = 262_144
@@ -12,9 +12,17 @@
   /** Number of bytes that were received when the last answer was complete; undefined while a request is on the connection. */
   #bytesAtEnd: number | undefined = 0
 
-  /** @param socket - the connection, open and without a request */
-  constructor (socket: Socket) {
+  /**
+   * @param socket - the connection, open and without a request
+   * @param onIdleFailure - called with the cause when the connection fails while no request is on it
+   */
+  constructor (socket: Socket, onIdleFailure: (cause: string) => void = () => {}) {
     this.#socket = socket
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      // The remote side ends idle connections in order after some time.
+      const isExpected = socket.readableEnded || error.code === CLOSING_ERROR_CODE
+      if (this.#bytesAtEnd !== undefined && !isExpected) onIdleFailure(String(error))
+    })
     socket.on('readable', () => { this.#check() })
   }
 
@@ -44,7 +52,7 @@
   /** Records that an answer is complete. A connection whose buffer holds a rest of its request would delay or lose the next one. */
   end (): void {
     this.#bytesAtEnd = this.#socket.bytesRead
-    if (this.#socket.writableLength > 0) this.#socket.destroy()
+    if (this.#socket.writableLength > 0) this.#socket.destroy(new Error(errorTexts.unsentRest()))
   }
 
   #check (): void {
--- a/src/relay/FramingLimitClient.ts
+++ b/src/relay/FramingLimitClient.ts
@@ -12,10 +12,11 @@
   /**
    * @param origin - URL of the server
    * @param options - options of the library's client; `connect` opens the connections
+   * @param onIdleFailure - called with the cause when a connection fails while no request is on it
    */
-  constructor (origin: URL, options: Client.Options & { connect: buildConnector.connector }) {
+  constructor (origin: URL, options: Client.Options & { connect: buildConnector.connector }, onIdleFailure?: (cause: string) => void) {
     const current: { guard?: ConnectionGuard } = {}
-    super(origin, { ...options, connect: connectWithGuard(options.connect, current) })
+    super(origin, { ...options, connect: connectWithGuard(options.connect, current, onIdleFailure) })
     this.#current = current
   }
 
@@ -24,12 +25,12 @@
   }
 }
 
-function connectWithGuard (connect: buildConnector.connector, current: { guard?: ConnectionGuard }): buildConnector.connector {
+function connectWithGuard (connect: buildConnector.connector, current: { guard?: ConnectionGuard }, onIdleFailure?: (cause: string) => void): buildConnector.connector {
   return (options, callback) => {
     connect(options, (...result: Parameters<buildConnector.Callback>) => {
       const [error, socket] = result
       // A failed connection is reported with an error and without a socket.
-      if (error === null && socket !== null) current.guard = new ConnectionGuard(socket)
+      if (error === null && socket !== null) current.guard = new ConnectionGuard(socket, onIdleFailure)
       callback(...result)
     })
   }
--- a/src/relay/Upstream.ts
+++ b/src/relay/Upstream.ts
@@ -41,8 +41,11 @@
   #avoidUntil = -Infinity
   readonly #joinedAt = performance.now()
 
-  /** @param announcement - first announcement of this upstream process */
-  constructor (announcement: Announcement) {
+  /**
+   * @param announcement - first announcement of this upstream process
+   * @param onIdleFailure - called with the cause when a connection fails while no request is on it
+   */
+  constructor (announcement: Announcement, onIdleFailure?: (cause: string) => void) {
     this.service = announcement.service
     this.address = announcement.address
     this.identity = announcement.identity
@@ -51,7 +54,7 @@
     this.#foreign = Math.min(announcement.slots, announcement.running)
     this.#foreignUntil = performance.now() + MAXIMUM_FOREIGN_MILLISECONDS
     this.#connectionCount = Math.min(announcement.slots, announcement.connections)
-    this.#connections = this.#openConnections()
+    this.#connections = this.#openConnections(onIdleFailure)
   }
 
   /** Connections to it, one request at a time on each. */
@@ -144,8 +147,8 @@
     await this.connections.close()
   }
 
-  #openConnections (): Pool {
-    return openPool(this.address, { connections: this.#connectionCount, connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS })
+  #openConnections (onIdleFailure?: (cause: string) => void): Pool {
+    return openPool(this.address, { connections: this.#connectionCount, connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS, onIdleFailure })
   }
 
   #countForeign (now: number): number {
