Keep further answers out of a body without a length

An upstream that ends its answers with the connection may write one twice, the second one late. Behind an answer without content-length and without chunks the bytes of the copy belong to the body for the HTTP library, so guests got answer, head and answer as one body.

A host now looks for heads of answers in such a body. A further answer with the same status and body repeats the first, which is delivered. One that bears an upstream's marks (identifier, signature, refusal) and is anything else, or a body that breaks off within a head, leaves open where the answer ends: the exchange is broken, so that an idempotent request is sent again and any other is answered as unknown. An answer that is passed on while it arrives fails at the head. Text of a message without these marks stays in the body.

Only a tail of at least `HTTP/` counts as a cut status line: each body that ends with the letter H would be refused otherwise, at each retry.

The counters repeated-answer.cut-off and repeated-answer.ambiguous, and the log line repeated-answer, tell this from other lost answers.

Evidence: entry/furtherAnswer and relay/furtherAnswer on real sockets, 0 to 100 ms late. Before the change each case but the last test of both files failed, for example with actual 'bodyHTTP/1.1 200 OK...body' instead of 'body', and for large bodies 'the stream ended as if it were whole'.

--- /dev/null
+++ b/__tests__/entry/furtherAnswer.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { openPool } from '../../src/relay/openPool.js'
+import type { RelayAnswer } from '../../src/relay/RelayAnswer.js'
+import { Outcome } from '../../src/types/Outcome.js'
+import { RequestClass } from '../../src/types/RequestClass.js'
+import { FURTHER_ANSWERS, LATE_MILLISECONDS, readText, writeLate } from '../support/furtherAnswers.js'
+import { openRawServer } from '../support/openRawServer.js'
+import { createEntryRequest } from './createEntryRequest.js'
+import { createRelayFixture } from './createRelayFixture.js'
+
+const ONE_TIME = { requestClass: RequestClass.OneTime, mostAttempts: 2 }
+const ID = 'a-1'
+/** Larger than the buffer of the fixture, so that the answer is passed on while it arrives. */
+const LARGE_BODY = 'body '.repeat(1_000)
+
+function composeAnswer (body: string): string {
+  return `HTTP/1.1 200 OK\r\nAttempt-Id: ${ID}\r\nResponse-Signature: s\r\nConnection: close\r\n\r\n${body}`
+}
+
+/** @returns the answer to a request whose upstream writes the given bytes behind its answer */
+async function serveWithFurther (body: string, further: string, milliseconds: number): Promise<RelayAnswer & { text: string | undefined }> {
+  const server = await openRawServer((socket) => { writeLate(socket, composeAnswer(body), further, milliseconds) })
+  const pool = openPool(server.address, { connections: 1, connectTimeoutMilliseconds: 500 })
+  const { relay } = createRelayFixture([server.address], ONE_TIME, {}, { to: () => pool, destroy: () => pool.destroy() })
+  const answer = await relay.serve(createEntryRequest(ONE_TIME, { id: ID, headers: [{ name: 'attempt-id', value: ID }] }))
+  const text = await readText(answer.body)
+  await pool.destroy()
+  await server.close()
+  return { ...answer, text }
+}
+
+for (const { name, compose, isSeparable } of FURTHER_ANSWERS) {
+  // Guards against a guest that gets two answers as one body.
+  test(`${name} behind an answer that ends with its connection is no part of the body`, async () => {
+    for (const body of ['body', '']) {
+      for (const milliseconds of LATE_MILLISECONDS) {
+        const answer = await serveWithFurther(body, compose(composeAnswer(body), body), milliseconds)
+        if (isSeparable) assert.equal(answer.text, body)
+        else assert.equal(answer.outcome, Outcome.Unknown, answer.text)
+      }
+    }
+  })
+
+  test(`${name} behind a large answer that ends with its connection fails the stream`, async () => {
+    for (const milliseconds of LATE_MILLISECONDS) {
+      const answer = await serveWithFurther(LARGE_BODY, compose(composeAnswer(LARGE_BODY), LARGE_BODY), milliseconds)
+      assert.ok(answer.text === undefined || answer.outcome === Outcome.Unknown, 'the stream ended as if it were whole')
+    }
+  })
+}
+
+test('a body that contains another HTTP message is passed on unchanged', async () => {
+  for (const further of ['HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nexample', 'HTTP/1.1 200', 'HTTP'].map((text) => `${text}, as said above`)) {
+    for (const body of ['body', '', LARGE_BODY]) assert.equal((await serveWithFurther(body, further, 20)).text, body + further)
+  }
+})
--- /dev/null
+++ b/__tests__/relay/furtherAnswer.test.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { Counters } from '../../src/observe/Counters.js'
+import { Owner } from '../../src/relay/Owner.js'
+import { PoisonGuard } from '../../src/relay/PoisonGuard.js'
+import { PoolRegistry } from '../../src/relay/PoolRegistry.js'
+import type { RelayAnswer } from '../../src/relay/RelayAnswer.js'
+import { RetryBudget } from '../../src/relay/RetryBudget.js'
+import { Upstream } from '../../src/relay/Upstream.js'
+import { Outcome } from '../../src/types/Outcome.js'
+import { RequestClass } from '../../src/types/RequestClass.js'
+import { FURTHER_ANSWERS, LATE_MILLISECONDS, readText, writeLate } from '../support/furtherAnswers.js'
+import { createAnnouncement, silentLog } from '../support/createAnnouncement.js'
+import { openRawServer } from '../support/openRawServer.js'
+import { createRelayedRequest } from './createRelayedRequest.js'
+
+const ID = 'r-1'
+const BUFFER_BYTES = 1_024
+const DEADLINE_MILLISECONDS = 2_000
+/** Larger than the buffer, so that the answer is passed on while it arrives. */
+const LARGE_BODY = 'body '.repeat(1_000)
+
+function composeAnswer (body: string): string {
+  return `HTTP/1.1 200 OK\r\nHibiscusrelay-Request: ${ID}\r\nConnection: close\r\n\r\n${body}`
+}
+
+/** @returns the answer to a request whose upstream writes the given bytes behind its answer */
+async function serveWithFurther (body: string, further: string, milliseconds: number): Promise<RelayAnswer & { text: string | undefined }> {
+  const server = await openRawServer((socket) => { writeLate(socket, composeAnswer(body), further, milliseconds) })
+  const pools = new PoolRegistry({ queueLength: 100, cap: { admit: () => true, rate: () => Infinity, recordDemand: () => {} } })
+  const upstream = new Upstream(createAnnouncement({ address: server.address, slots: 1, connections: 1, echoesRequest: true }))
+  upstream.extendGrant(performance.now() + 60_000)
+  pools.ensure('inventario').upstreams.set(upstream.address, upstream)
+  const owner = new Owner({
+    pools, poison: new PoisonGuard(), retryBudget: () => new RetryBudget(0), onBroken: async () => {}, beginSuspect: async () => () => {}, onCleared: () => {}, answerBufferBytes: BUFFER_BYTES, counters: new Counters(), log: silentLog
+  })
+  const answer = await owner.serve({ ...createRelayedRequest(ID, DEADLINE_MILLISECONDS), id: ID, requestClass: RequestClass.OneTime })
+  const text = await readText(answer.body)
+  await upstream.close()
+  await server.close()
+  return { ...answer, text }
+}
+
+for (const { name, compose, isSeparable } of FURTHER_ANSWERS) {
+  // Guards against a guest that gets two answers as one body.
+  test(`${name} behind an answer that ends with its connection is no part of the body`, async () => {
+    for (const body of ['body', '']) {
+      for (const milliseconds of LATE_MILLISECONDS) {
+        const answer = await serveWithFurther(body, compose(composeAnswer(body), body), milliseconds)
+        if (isSeparable) assert.equal(answer.text, body)
+        else assert.equal(answer.outcome, Outcome.Unknown, answer.text)
+      }
+    }
+  })
+
+  test(`${name} behind a large answer that ends with its connection fails the stream`, async () => {
+    for (const milliseconds of LATE_MILLISECONDS) {
+      const answer = await serveWithFurther(LARGE_BODY, compose(composeAnswer(LARGE_BODY), LARGE_BODY), milliseconds)
+      assert.ok(answer.text === undefined || answer.outcome === Outcome.Unknown, 'the stream ended as if it were whole')
+    }
+  })
+}
+
+test('a body that contains another HTTP message is passed on unchanged', async () => {
+  for (const further of ['HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nexample', 'HTTP/1.1 200', 'HTTP'].map((text) => `${text}, as said above`)) {
+    for (const body of ['body', '', LARGE_BODY]) assert.equal((await serveWithFurther(body, further, 20)).text, body + further)
+  }
+})
--- a/src/entry/UpstreamProtocol.ts
+++ b/src/entry/UpstreamProtocol.ts
@@ -1,5 +1,6 @@
 import type { LoadReport } from '../placement/LoadReport.js'
 import type { AnswerHead, ExchangeAnswer } from '../relay/exchange.js'
+import type { HeadOrigin } from '../relay/HeadOrigin.js'
 import type { HeaderField } from '../relay/RelayedRequest.js'
 import type { EntryRequest } from './EntryRequest.js'
 import type { UpstreamNotice } from './UpstreamNotice.js'
@@ -27,6 +28,8 @@
   composeHeaders (request: EntryRequest, upstream: string, remainingMilliseconds: number): HeaderField[]
   /** @returns the meaning of an answer to the request, by its head */
   classifyAnswer (request: EntryRequest, head: AnswerHead): AnswerKind
+  /** @returns whose answer a head introduces that is found within the body of the answer to the request */
+  identifyHead (request: EntryRequest, head: AnswerHead): HeadOrigin
   /** @returns the load that the upstream reported with the answer, undefined if it reported none */
   readLoad (answer: ExchangeAnswer): LoadReport | undefined
   /** @returns what the upstream says of itself in the head of an answer */
--- a/src/entry/UpstreamSender.ts
+++ b/src/entry/UpstreamSender.ts
@@ -2,6 +2,8 @@
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
 import type { KnownState } from '../follow/KnownState.js'
 import type { StopWindow } from '../limits/StopWindow.js'
+import type { Counters } from '../observe/Counters.js'
+import { reportRepeatedAnswer } from '../observe/reportRepeatedAnswer.js'
 import type { Log } from '../observe/Log.js'
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
 import { exchange, type AnswerHead, type AnswerLimits, type ExchangeAnswer } from '../relay/exchange.js'
@@ -27,6 +29,7 @@
   onExcuse: () => void
   notices: Pick<UpstreamNotices, 'record'>
   stopWindow: Pick<StopWindow, 'admits'>
+  counters: Counters
   log: Log
 }
 
@@ -107,6 +110,10 @@
       // A faulty upstream may write an answer or a refusal again on a connection that is kept. Whatever follows there would be
       // taken for the answer to the next request, so that each later answer on it would go to the wrong request.
       isHeadSufficient: (head) => protocol.classifyAnswer(request, head) !== AnswerKind.Own,
+      separator: {
+        identify: (head) => protocol.identifyHead(request, head),
+        onFound: (found) => { reportRepeatedAnswer(this.#options, { peer: record.address, request: request.id, found }) }
+      },
       onHead: (head) => { this.#recordNotice(request, record, head) },
       mayWrite: () => stopWindow.admits(request.deadline) && this.#canStillUse(record),
       onWrite
--- a/src/errors/errorTexts.ts
+++ b/src/errors/errorTexts.ts
@@ -3,6 +3,7 @@
   peerUnreachable: (method: string) => `the peer did not answer ${method}`,
   framingLimitExceeded: (bytes: number) => `received ${bytes} bytes without a response head, body data or an end`,
   peerRefused: (method: string, message: string) => `the peer refused ${method}: ${message}`,
+  answerEndUnknown: () => 'another answer follows on the connection, and it is not known where the first one ends',
   tooManyLargeAnswers: () => 'too many large answers are passed on at the same time',
   peerAnswerTooLarge: (bytes: number) => `the answer of the peer exceeds ${bytes} bytes`,
   answerNamesOtherCall: () => 'the answer does not name the call that it belongs to',
--- a/src/hibiscusrelay.ts
+++ b/src/hibiscusrelay.ts
@@ -135,6 +135,7 @@
 export { RetryShare, type RetryBound } from './placement/RetryShare.js'
 export { UpstreamLoad } from './placement/UpstreamLoad.js'
 export type { AnswerHead, ExchangeAnswer } from './relay/exchange.js'
+export { HeadOrigin } from './relay/HeadOrigin.js'
 
 // Choice of entry hosts and of owners.
 export type { ChoiceExplanation, ExplainedPool } from './steering/ChoiceExplanation.js'
--- a/src/observe/declareCounters.ts
+++ b/src/observe/declareCounters.ts
@@ -1,4 +1,5 @@
 import { RefusalReason } from '../types/RefusalReason.js'
+import { RepeatedAnswer } from '../relay/RepeatedAnswer.js'
 import { RetryReason } from '../types/RetryReason.js'
 import { Outcome } from '../types/Outcome.js'
 import type { Counters } from './Counters.js'
@@ -14,6 +15,7 @@
 export function declareCounters (counters: Counters): void {
   for (const reason of Object.values(RefusalReason)) counters.declare(refusalCounter(reason))
   for (const reason of Object.values(RetryReason)) counters.declare(retryCounter(reason))
+  for (const found of Object.values(RepeatedAnswer)) counters.declare(repeatedAnswerCounter(found))
   counters.declare(RETRY_BUDGET_COUNTER)
   for (const outcome of Object.values(Outcome)) counters.declare(outcomeCounter(outcome))
 }
@@ -28,6 +30,11 @@
   return `retried.${reason}`
 }
 
+/** @returns the name of the counter of answers behind which an upstream wrote a further one, by what became of them */
+export function repeatedAnswerCounter (found: RepeatedAnswer): string {
+  return `repeated-answer.${found}`
+}
+
 /** @returns the name of the counter of an outcome */
 export function outcomeCounter (outcome: Outcome): string {
   return `outcome.${outcome}`
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from 'undici'
 import { errorTexts } from '../errors/errorTexts.js'
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
+import { AnswerSeparator } from './AnswerSeparator.js'
 import type { ExchangeAnswer, ExchangeRequest } from './exchange.js'
 import type { HeaderField } from './RelayedRequest.js'
 
@@ -35,6 +36,8 @@
   /** Number of these bytes that are taken from the budget. */
   #reservedBytes = 0
   #endsWithConnection = false
+  /** Present while an answer arrives behind which a further one could not be told from its body. */
+  #separator: AnswerSeparator | undefined
   #stream: PassThrough | undefined
 
   /**
@@ -79,6 +82,8 @@
     this.#status = status
     this.#headers = listHeaders(headers)
     this.#endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && !hasNoBody(this.#request.method, status)
+    const { separator } = this.#request
+    if (this.#endsWithConnection && separator !== undefined) this.#separator = new AnswerSeparator(status, separator)
     const head = { status, headers: this.#headers }
     this.#request.onHead?.(head)
     if (this.#request.isHeadSufficient?.(head) === true) this.#endAtHead(controller)
@@ -95,12 +100,18 @@
   }
 
   onResponseEnd (): void {
+    const lastBytes = this.#takeLastBytes()
+    if (lastBytes === undefined) {
+      this.#failure = ExchangeFailure.Broken
+      this.onResponseError(null, new Error(errorTexts.answerEndUnknown()))
+      return
+    }
     this.#markEnded(undefined)
     if (this.#stream !== undefined) {
-      this.#stream.end()
+      this.#stream.end(lastBytes)
       return
     }
-    this.#resolve(this.#createAnswer(Buffer.concat(this.#chunks, this.#bufferedBytes)))
+    this.#resolve(this.#createAnswer(lastBytes))
   }
 
   onResponseError (_controller: Dispatcher.DispatchController | null, cause: Error): void {
@@ -140,7 +151,17 @@
   }
 
   #writeChunk (controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (!this.#stream!.write(chunk)) controller.pause()
+    if (this.#hasEnded) return
+    const passed = this.#separator === undefined ? chunk : this.#separator.pass(chunk)
+    if (passed === undefined) return this.#abort(ExchangeFailure.Broken, errorTexts.answerEndUnknown())
+    if (!this.#stream!.write(passed)) controller.pause()
+  }
+
+  /** @returns the bytes that were not passed on yet, undefined when it is not known whether the answer ended before them */
+  #takeLastBytes (): Buffer | undefined {
+    if (this.#stream !== undefined) return this.#separator === undefined ? Buffer.alloc(0) : this.#separator.finish()
+    const body = Buffer.concat(this.#chunks, this.#bufferedBytes)
+    return this.#separator === undefined ? body : this.#separator.separate(body)
   }
 
   #tryReserve (bytes: number): boolean {
--- a/src/relay/Owner.ts
+++ b/src/relay/Owner.ts
@@ -1,6 +1,7 @@
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
 import type { Counters } from '../observe/Counters.js'
 import { retryCounter } from '../observe/declareCounters.js'
+import { reportRepeatedAnswer } from '../observe/reportRepeatedAnswer.js'
 import type { Log } from '../observe/Log.js'
 import { Outcome } from '../types/Outcome.js'
 import { RefusalReason } from '../types/RefusalReason.js'
@@ -8,7 +9,7 @@
 import { Step } from '../types/Step.js'
 import { createUpstreamRequest } from './createUpstreamRequest.js'
 import { parseRetryAfter } from './parseRetryAfter.js'
-import { exchange, type AnswerLimits, type ExchangeAnswer } from './exchange.js'
+import { exchange, type AnswerLimits, type ExchangeAnswer, type ExchangeRequest } from './exchange.js'
 import { answerFailedExchange } from './answerFailedExchange.js'
 import { findEchoedRequest, isAnswerOfAnother } from './isAnswerOfAnother.js'
 import { isShed } from './isShed.js'
@@ -129,7 +130,7 @@
     upstream.lastStartedAt = startedAt
     upstream.inFlight.add(request)
     try {
-      const answer = await exchange(upstream.connections, createUpstreamRequest(request, upstream, this.#options))
+      const answer = await exchange(upstream.connections, this.#createRequest(request, upstream))
       this.#releaseAfter(answer.finished, pool, upstream, request, isSuspect, startedAt)
       return this.#interpret(answer, upstream, request, performance.now() - startedAt)
     } catch (error) {
@@ -138,6 +139,10 @@
     }
   }
 
+  #createRequest (request: RelayedRequest, upstream: Upstream): ExchangeRequest {
+    return createUpstreamRequest(request, upstream, this.#options, (found) => { reportRepeatedAnswer(this.#options, { peer: upstream.address, request: request.id, found }) })
+  }
+
   #releaseAfter (finished: Promise<unknown>, pool: UpstreamPool, upstream: Upstream, request: RelayedRequest, isSuspect: boolean, startedAt: number): void {
     finished.then(() => {
       upstream.inFlight.delete(request)
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -2,6 +2,7 @@
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
 import type { AnswerBudget } from './AnswerBudget.js'
 import { AnswerCollector } from './AnswerCollector.js'
+import type { SeparatorOptions } from './AnswerSeparator.js'
 import type { Readable } from 'node:stream'
 import type { HeaderField } from './RelayedRequest.js'
 
@@ -34,6 +35,8 @@
   isHeadSufficient?: (head: AnswerHead) => boolean
   /** Called with the head of each answer that arrives, whatever becomes of it. */
   onHead?: (head: AnswerHead) => void
+  /** How a further answer is recognized within an answer that the end of the connection delimits; by default none is. */
+  separator?: SeparatorOptions
   /** Called right before the first byte is written; false prevents it. */
   mayWrite: () => boolean
   /** Called when the request is about to be written; from then on it may run. */
