Wait for the answer behind an interim response

An upstream that wrote 102 or 103 before its answer got its requests answered as unknown: the HTTP library hands interim responses to the same handler as answers, and one without the identifier was taken for the answer to another request. An interim response that bore the identifier passed, but its missing length would have marked a complete answer behind it as one that ends with the connection.

--- a/__tests__/relay/furtherAnswer.test.ts
+++ b/__tests__/relay/furtherAnswer.test.ts
@@ -1,17 +1,11 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { Counters } from '../../src/observe/Counters.js'
-import { Owner } from '../../src/relay/Owner.js'
-import { PoisonGuard } from '../../src/relay/PoisonGuard.js'
-import { PoolRegistry } from '../../src/relay/PoolRegistry.js'
 import type { RelayAnswer } from '../../src/relay/RelayAnswer.js'
-import { RetryBudget } from '../../src/relay/RetryBudget.js'
-import { Upstream } from '../../src/relay/Upstream.js'
 import { Outcome } from '../../src/types/Outcome.js'
 import { RequestClass } from '../../src/types/RequestClass.js'
 import { FURTHER_ANSWERS, LATE_MILLISECONDS, readText, writeLate } from '../support/furtherAnswers.js'
-import { createAnnouncement, silentLog } from '../support/createAnnouncement.js'
 import { openRawServer } from '../support/openRawServer.js'
+import { createOwnerFixture } from './createOwnerFixture.js'
 import { createRelayedRequest } from './createRelayedRequest.js'
 
 const ID = 'r-1'
@@ -27,13 +21,7 @@
 /** @returns the answer to a request whose upstream writes the given bytes behind its answer */
 async function serveWithFurther (body: string, further: string, milliseconds: number): Promise<RelayAnswer & { text: string | undefined }> {
   const server = await openRawServer((socket) => { writeLate(socket, composeAnswer(body), further, milliseconds) })
-  const pools = new PoolRegistry({ queueLength: 100, cap: { admit: () => true, rate: () => Infinity, recordDemand: () => {} } })
-  const upstream = new Upstream(createAnnouncement({ address: server.address, slots: 1, connections: 1, echoesRequest: true }))
-  upstream.extendGrant(performance.now() + 60_000)
-  pools.ensure('inventario').upstreams.set(upstream.address, upstream)
-  const owner = new Owner({
-    pools, poison: new PoisonGuard(), retryBudget: () => new RetryBudget(0), onBroken: async () => {}, beginSuspect: async () => () => {}, onCleared: () => {}, answerBufferBytes: BUFFER_BYTES, counters: new Counters(), log: silentLog
-  })
+  const { owner, upstream } = createOwnerFixture(server.address, { answerBufferBytes: BUFFER_BYTES })
   const answer = await owner.serve({ ...createRelayedRequest(ID, DEADLINE_MILLISECONDS), id: ID, requestClass: RequestClass.OneTime })
   const text = await readText(answer.body)
   await upstream.close()
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -12,6 +12,8 @@
 /** Buffer of an answer that is passed on while it arrives: what its receiver does not read stays at the sender. */
 const STREAM_BUFFER_BYTES = 16_384
 const ANSWER_DISCARDED = 'the rest of the answer is not needed'
+/** Interim responses (status 1xx) precede the answer; they are no part of it. */
+const MINIMUM_FINAL_STATUS = 200
 const BODILESS_STATUSES = new Set([204, 304])
 
 /** Handles one exchange: records whether bytes were written, collects the answer and enforces the deadline. */
@@ -79,6 +81,7 @@
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+    if (status < MINIMUM_FINAL_STATUS) return
     this.#status = status
     this.#headers = listHeaders(headers)
     this.#endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && !hasNoBody(this.#request.method, status)
