Fail large answers that are repeated without an identifier

A copy without an identifier behind a large answer without a length was passed on as part of the body, since a stream keeps nothing to compare it with. Length and checksum of the parts between heads of the answer's status tell a repetition at the end of the body, without keeping any of it; the stream then fails instead of ending.

Evidence: AnswerSeparator 'copies without identifier are not passed on as a whole answer' and furtherAnswer of both forms 'the stream ended as if it were whole', red with the comparison switched off.

--- a/__tests__/support/furtherAnswers.ts
+++ b/__tests__/support/furtherAnswers.ts
@@ -7,6 +7,8 @@
   compose: (answer: string, body: string) => string
   /** Whether the first answer can be told from what follows it when all of it is read at once. */
   isSeparable: boolean
+  /** Whether it cannot be told when the answer is empty, though it can be otherwise. */
+  isAmbiguousWhenEmpty?: boolean
 }
 
 /** What may follow an answer without a length. The answer's head has status 200 and names its request. */
@@ -14,6 +16,7 @@
   { name: 'the same answer', compose: (answer) => answer, isSeparable: true },
   { name: 'the same answer twice', compose: (answer) => answer + answer, isSeparable: true },
   { name: 'the same answer with a length', compose: (answer, body) => answer.replace('\r\n\r\n', `\r\nContent-Length: ${body.length}\r\n\r\n`), isSeparable: true },
+  { name: 'the same answer without its identifier and signature', compose: (answer) => answer.replace(/\r\n(Attempt-Id|Response-Signature|Hibiscusrelay-Request).*/g, ''), isSeparable: true, isAmbiguousWhenEmpty: true },
   { name: 'the same answer in chunks', compose: (answer, body) => answer.replace(`\r\n\r\n${body}`, `\r\nTransfer-Encoding: chunked\r\n\r\n${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`), isSeparable: false },
   { name: 'an answer of status 500', compose: (answer) => answer.replace('200 OK', '500 Failed'), isSeparable: false },
   { name: 'an answer of status 503', compose: (answer) => answer.replace('200 OK', '503 Full'), isSeparable: false },
--- a/src/relay/AnswerSeparator.ts
+++ b/src/relay/AnswerSeparator.ts
@@ -2,6 +2,7 @@
 import { HeadOrigin } from './HeadOrigin.js'
 import { HeadScanner, type ScannedPart } from './HeadScanner.js'
 import { RepeatedAnswer } from './RepeatedAnswer.js'
+import { RepetitionTracker } from './RepetitionTracker.js'
 import { separateAnswers } from './separateAnswers.js'
 
 /** How further answers are recognized within an answer that the end of its connection delimits. */
@@ -17,6 +18,7 @@
   readonly #status: number
   readonly #options: SeparatorOptions
   readonly #scanner = new HeadScanner()
+  readonly #tracker = new RepetitionTracker()
 
   /**
    * @param status - status of the answer
@@ -42,20 +44,28 @@
    * @returns the bytes to pass on, undefined when a further answer begins in them
    */
   pass (chunk: Buffer): Buffer | undefined {
-    return this.#join(this.#scanner.scan(chunk), false)
+    return this.#join(this.#scanner.scan(chunk))
   }
 
-  /** @returns the last bytes of an answer that was passed on while it arrived, undefined when a further answer begins in them */
+  /** @returns the last bytes of an answer that was passed on while it arrived, undefined when it is not known where it ends */
   finish (): Buffer | undefined {
     const { parts, endsInHead } = this.#scanner.finish()
-    return this.#join(parts, endsInHead)
+    const bytes = this.#join(parts)
+    if (bytes === undefined) return undefined
+    return endsInHead || this.#tracker.isRepetition ? this.#reject() : bytes
   }
 
-  #join (parts: ScannedPart[], endsInHead: boolean): Buffer | undefined {
-    if (endsInHead || parts.some(({ head }) => head !== undefined && this.#options.identify(head) !== HeadOrigin.Unknown)) {
-      this.#options.onFound(RepeatedAnswer.Ambiguous)
-      return undefined
+  #join (parts: ScannedPart[]): Buffer | undefined {
+    if (parts.some(({ head }) => head !== undefined && this.#options.identify(head) !== HeadOrigin.Unknown)) return this.#reject()
+    for (const { bytes, head } of parts) {
+      if (head?.status === this.#status) this.#tracker.split()
+      else this.#tracker.add(bytes)
     }
     return parts.length === 1 ? parts[0]!.bytes : Buffer.concat(parts.map(({ bytes }) => bytes))
   }
+
+  #reject (): undefined {
+    this.#options.onFound(RepeatedAnswer.Ambiguous)
+    return undefined
+  }
 }
