Read what has arrived before idle connections are closed

A guest's request on a kept connection was reset at a stop although it had reached the host before the connection was closed: idle connections are closed right after the last answer, when the event loop may not have looked at its connections for as long as its last callbacks took.

The listener now lets the event loop read once more, and closes idle connections only if no request came of it.

Evidence: on the code before, 'a request that waits to be read on a kept connection is answered when the listener closes' got ECONNRESET, with a callback of 100 ms before the close.

--- a/__tests__/transport/HttpListener.test.ts
+++ b/__tests__/transport/HttpListener.test.ts
@@ -227,3 +227,26 @@
   assert.deepEqual(await Promise.all(guests.map(({ ended }) => ended)), guests.map(() => undefined))
   for (const { text } of guests) assert.match(text(), /^HTTP\/1.1 200 /)
 })
+
+// Guards against closing a kept connection as idle while its next request waits to be read.
+test('a request that waits to be read on a kept connection is answered when the listener closes', async (context) => {
+  const kept: Guest[] = []
+  const listener = await openListener(context, async (request, response) => {
+    if (request.url === '/slow') {
+      request.socket.once('close', () => {
+        kept[0]!.socket.write(REQUEST.replace('first', 'second'))
+        const busyUntil = performance.now() + RUN_MILLISECONDS / 2
+        while (performance.now() < busyUntil);
+      })
+    }
+    await answerLate(request, response)
+  })
+  kept.push(openGuest())
+  kept[0]!.socket.write(REQUEST)
+  await once(kept[0]!.socket, 'data')
+  openGuest().socket.write(REQUEST.replace('first', 'slow'))
+  await sleep(RUN_MILLISECONDS / 2)
+  await listener.closeWithin(WAIT_MILLISECONDS)
+  assert.equal(await kept[0]!.ended, undefined)
+  assert.match(kept[0]!.text(), /answer to \/first[^]*connection: close[^]*answer to \/second$/i)
+})
--- a/src/transport/HttpListener.ts
+++ b/src/transport/HttpListener.ts
@@ -1,10 +1,11 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Server as SocketServer, type Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { setImmediate as nextCheckPhase, setTimeout as sleep } from 'node:timers/promises'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { HibiscusrelayError } from '../errors/HibiscusrelayError.js'
 import { errorTexts } from '../errors/errorTexts.js'
 import { Step } from '../types/Step.js'
+import { passPollPhase } from '../utils/passPollPhase.js'
 import { splitAddress } from '../utils/splitAddress.js'
 import { waitUntil } from '../utils/waitUntil.js'
 import { closeAfterCaller } from './closeAfterCaller.js'
@@ -108,7 +109,7 @@
     await this.#acceptWaiting(deadline)
     // The HTTP server counts a connection as idle whose answer waits in its buffer, and its own `close` destroys idle connections.
     const closed = new Promise<void>((resolve) => { SocketServer.prototype.close.call(this.#server, () => { resolve() }) })
-    if (await waitUntil(() => this.#responses.size + this.#leaving.size === 0, deadline)) this.#server.closeIdleConnections()
+    if (await this.#waitUntilIdle(deadline)) this.#server.closeIdleConnections()
     await Promise.race([closed, sleep(Math.max(0, deadline - performance.now()), undefined, { ref: false })])
   }
 
@@ -123,12 +124,21 @@
     let accepted
     do {
       accepted = this.#accepted
-      // The first check phase ends this iteration of the event loop, the second one follows the next poll phase, which accepts one.
-      await nextCheckPhase()
-      await nextCheckPhase()
+      // Each poll phase accepts one.
+      await passPollPhase()
     } while (accepted < this.#accepted && this.#accepted < maximum && performance.now() < deadline)
   }
 
+  /** Waits until every answer has been written and every request that had arrived by then has been read. */
+  async #waitUntilIdle (deadline: number): Promise<boolean> {
+    const isIdle = (): boolean => this.#responses.size + this.#leaving.size === 0
+    do {
+      if (!await waitUntil(isIdle, deadline)) return false
+      await passPollPhase()
+    } while (!isIdle())
+    return true
+  }
+
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (!await this.#turns.take(request, response)) {
       request.resume()
--- a/src/transport/hasCallerDisconnected.ts
+++ b/src/transport/hasCallerDisconnected.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http'
-import { setImmediate as nextCheckPhase } from 'node:timers/promises'
+import { passPollPhase } from '../utils/passPollPhase.js'
 
 /**
  * Detects that a caller closed its connection right after its request. The event loop reads a connection once per iteration,
@@ -9,8 +9,6 @@
  * @returns whether the caller has disconnected
  */
 export async function hasCallerDisconnected ({ socket }: IncomingMessage): Promise<boolean> {
-  // The first check phase ends this iteration, the second one follows the next poll phase.
-  await nextCheckPhase()
-  await nextCheckPhase()
+  await passPollPhase()
   return socket.destroyed || socket.readableEnded
 }
