Wait for the answer behind an interim head

What callers saw: when an upstream sent an interim head (102, 103) before its answer, the request counted as answered by a foreign answer, though it ran: unknown for a one-time request, another send and a charge for an idempotent one, and blame for the upstream.

Cause: the HTTP library reports interim heads like the head of the answer, and the first head was taken for the answer.

Evidence: relay/interimAnswer.test.ts on the code before: the status of the answer was 102 and 103 instead of 200.

Fix: heads below 200 are passed over. That they go on without end is bounded as before.

--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -11,6 +11,7 @@
 const STREAM_BUFFER_BYTES = 16_384
 const ANSWER_DISCARDED = 'the rest of the answer is not needed'
 const BODILESS_STATUSES = new Set([204, 304])
+const MINIMUM_FINAL_STATUS = 200
 
 /** Handles one exchange: records whether bytes were written, collects the answer and enforces the deadline. */
 export class AnswerCollector implements Dispatcher.DispatchHandler {
@@ -75,6 +76,8 @@
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+    // An interim head says nothing about the answer that follows.
+    if (status < MINIMUM_FINAL_STATUS) return
     this.#status = status
     this.#headers = listHeaders(headers)
     this.#endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && !hasNoBody(this.#request.method, status)
