Keep a reset connection from failing a call between hosts that waits for it

What callers saw: a call that waited for a kept connection when its peer reset it, as a host does that is started again, failed as if the peer could not be reached.

Cause: the same as for upstreams: the HTTP library fails all calls that wait for a connection that ends with ECONNRESET.

Evidence: transport/resetCallConnection.test.ts on the code before: "the peer did not answer method", cause "read ECONNRESET".

Fix: connections for calls get the connector that the connections to upstreams and owners have.

--- a/src/transport/PeerClient.ts
+++ b/src/transport/PeerClient.ts
@@ -1,7 +1,8 @@
 import { JSONRPCClient, JSONRPCErrorException, type JSONRPCResponse } from 'json-rpc-2.0'
-import { Agent } from 'undici'
+import { Agent, buildConnector } from 'undici'
 import { errorTexts } from '../errors/errorTexts.js'
 import { PeerCallError } from '../errors/PeerCallError.js'
+import { failOnConnectionReset } from '../relay/failOnConnectionReset.js'
 import type { PeerMethod } from '../types/PeerMethod.js'
 import { CallCollector } from './CallCollector.js'
 import { BODY_ENCODING, encodeBody } from './encodeBody.js'
@@ -17,7 +18,7 @@
 
 /** Calls methods of other hosts with JSON-RPC 2.0 over persistent HTTP connections. */
 export class PeerClient {
-  readonly #agent = new Agent({ connections: CONNECTIONS_PER_PEER, pipelining: 1, connectTimeout: CONNECT_TIMEOUT_MILLISECONDS })
+  readonly #agent = new Agent({ connections: CONNECTIONS_PER_PEER, pipelining: 1, connect: failOnConnectionReset(buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS })) })
   readonly #signature: PeerSignature
   readonly #dialAddress: (address: string) => string
   readonly #localHost: LocalHost | undefined
