Never take the end of a connection for the end of an answer

Guests saw a 200 that looked whole and was not, whenever an answer without a length was cut: by a killed host, a stop, the time-out of the route, a destroyed response, or an upstream that was killed while it wrote.

Cause: such an answer went to the guest in the same form, so that the end of the guest's connection was its only end, and the kernel ends the connections of a killed process in order. The end of the upstream's connection proved as little.

Now only a length or the last chunk says to a guest that an answer is whole (deliverAnswer); the length of the upstream is passed on with a body that is passed on while it arrives. A guest of HTTP/1.0 that could recognize no end gets answer-lost in its place. An answer without a length is whole only if a connection opened after its end finds the upstream alive (confirmEnd; CrashDetector.isAlive, CrashReporter.isAlive); by default it is broken, also between hosts. Looks at one upstream are shared, but a look under way proves nothing (FreshLooks). The mark of earlier owners counts as not confirmed; no mark is sent any more. A reset of the guest's connection was weighed and left out: it may take away answers that the guest has not read yet, and framing tells enough.

An upstream that ends one connection early and lives on can't be told from one that ended its answer; neither can a worker behind a listener that another process keeps.

AnswerCollector.test.ts: its answers are now in chunks, as its subject is the budget, and an answer without a length is no longer whole by itself.

Counters answer-end.confirmed, answer-end.unconfirmed and answer-end.not-for-http-1.0, and log lines, tell these from other losses.

--- a/__performance_tests__/relay/hopCost.ts
+++ b/__performance_tests__/relay/hopCost.ts
@@ -28,7 +28,7 @@
 const counters = new Counters()
 const poison = new PoisonGuard()
 const pools = new PoolRegistry({ queueLength: 100, cap: { admit: () => true, rate: () => Infinity, recordDemand: () => {} } })
-const owner = new Owner({ pools, poison, retryBudget: () => new RetryBudget(10), onBroken: async () => {}, beginSuspect: async () => () => {}, onCleared: () => {}, answerBufferBytes: 65_536, counters, log: silentLog })
+const owner = new Owner({ pools, poison, retryBudget: () => new RetryBudget(10), onBroken: async () => {}, isAlive: async () => false, beginSuspect: async () => () => {}, onCleared: () => {}, answerBufferBytes: 65_536, counters, log: silentLog })
 const peerServer = new PeerServer(signature, counters)
 peerServer.register(PeerMethod.Probe, (parameters: object) => parameters)
 peerServer.registerRelay(async (head, body, message, response) => {
--- a/__tests__/relay/AnswerCollector.test.ts
+++ b/__tests__/relay/AnswerCollector.test.ts
@@ -28,7 +28,7 @@
   const state = { isPaused: false }
   const controller: Dispatcher.DispatchController = { abort: (cause: Error) => { collector.onResponseError(controller, cause) }, pause: () => { state.isPaused = true }, resume: () => {} } as never
   collector.onRequestStart(controller)
-  collector.onResponseStart(controller, 200, {})
+  collector.onResponseStart(controller, 200, { 'transfer-encoding': 'chunked' })
   for (let received = 0; received < chunks; received += 1) collector.onResponseData(controller, Buffer.alloc(CHUNK_BYTES))
   return { collector, state }
 }
--- a/__tests__/relay/answerCutShort.test.ts
+++ b/__tests__/relay/answerCutShort.test.ts
@@ -19,6 +19,7 @@
   { name: 'in chunks', answer: `HTTP/1.1 200 OK\r\n${HEADERS}Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n5\r\nfghij\r\n0\r\n\r\n` },
   { name: 'in chunks, closing', answer: `HTTP/1.1 200 OK\r\n${HEADERS}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n5\r\nfghij\r\n0\r\n\r\n` },
   { name: 'up to the end of the connection', answer: `HTTP/1.1 200 OK\r\n${HEADERS}Connection: close\r\n\r\n${BODY}` },
+  { name: 'in a transfer coding without chunks', answer: `HTTP/1.1 200 OK\r\n${HEADERS}Connection: close\r\nTransfer-Encoding: identity\r\n\r\n${BODY}` },
   { name: 'of HTTP/1.0', answer: `HTTP/1.0 200 OK\r\n${HEADERS}\r\n${BODY}` }
 ]
 const ENDINGS: Array<{ name: string, end: (socket: Socket) => void }> = [
@@ -32,25 +33,32 @@
       test(`an answer ${name} that is ${ending} at any byte never looks whole (buffer of ${answerBufferBytes} bytes)`, async () => {
         for (const isKept of [false, true]) {
           const results = await Promise.all(Array.from({ length: answer.length }, (_, bytes) => exchangeCut(answer.slice(0, bytes), end, isKept, answerBufferBytes)))
-          results.forEach((result, bytes) => { assert.ok(result === undefined || mayEndThere(result, answer, bytes), `cut after ${bytes} bytes${isKept ? ' on a kept connection' : ''}: ${JSON.stringify(result)}`) })
+          results.forEach((result, bytes) => { assert.equal(result, undefined, `cut after ${bytes} bytes${isKept ? ' on a kept connection' : ''}`) })
         }
       })
     }
   }
 }
 
+for (const { name, answer } of FRAMINGS) {
+  for (const answerBufferBytes of [BUFFER_BYTES, STREAMING_BUFFER_BYTES]) {
+    test(`a whole answer ${name} is taken for whole (buffer of ${answerBufferBytes} bytes)`, async () => {
+      assert.equal(await exchangeCut(answer, (socket) => { socket.end() }, false, answerBufferBytes, async () => true), BODY)
+    })
+  }
+}
+
 /** @returns the body that looks whole, undefined when the answer is recognized as cut */
-async function exchangeCut (bytes: string, end: (socket: Socket) => void, isKept: boolean, answerBufferBytes: number): Promise<{ body: string, endsWithConnection: boolean } | undefined> {
+async function exchangeCut (bytes: string, end: (socket: Socket) => void, isKept: boolean, answerBufferBytes: number, confirmEnd?: () => Promise<boolean>): Promise<string | undefined> {
   const server = await openRawServer((socket, _head, number) => {
     if (isKept && number === 1) socket.write(WHOLE_ANSWER)
     else socket.write(bytes, () => { end(socket) })
   })
   const pool = openPool(server.address, { connections: 1, connectTimeoutMilliseconds: 2_000, idleTimeoutMilliseconds: 4_000 })
-  const send = async (): Promise<ExchangeAnswer> => await exchange(pool, { peer: server.address, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), deadline: performance.now() + 5_000, cancelled: new AbortController().signal, answerBufferBytes, closeConnection: false, mayWrite: () => true })
+  const send = async (): Promise<ExchangeAnswer> => await exchange(pool, { peer: server.address, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), deadline: performance.now() + 5_000, cancelled: new AbortController().signal, answerBufferBytes, closeConnection: false, mayWrite: () => true, confirmEnd })
   try {
     if (isKept) await readWhole(await send())
-    const answer = await send()
-    return { body: await readWhole(answer), endsWithConnection: answer.endsWithConnection }
+    return await readWhole(await send())
   } catch {
     // Any error marks the answer as cut.
     return undefined
@@ -63,8 +71,3 @@
 async function readWhole ({ body }: ExchangeAnswer): Promise<string> {
   return Buffer.isBuffer(body) ? body.toString() : Buffer.concat(await (body as Readable).toArray()).toString()
 }
-
-/** A body that ends with its connection may end anywhere after the head; the guest's connection ends there, too. */
-function mayEndThere ({ endsWithConnection }: { endsWithConnection: boolean }, answer: string, bytes: number): boolean {
-  return endsWithConnection && !/content-length|transfer-encoding/i.test(answer) && bytes >= answer.indexOf('\r\n\r\n') + 4
-}
--- a/__tests__/relay/answerWithoutLength.test.ts
+++ b/__tests__/relay/answerWithoutLength.test.ts
@@ -1,23 +1,88 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import type { Readable } from 'node:stream'
 import type { ClaimLedger } from '../../src/ledger/ClaimLedger.js'
+import { forwardToOwner } from '../../src/relay/forwardToOwner.js'
+import { openPool } from '../../src/relay/openPool.js'
+import { PoisonGuard } from '../../src/relay/PoisonGuard.js'
 import type { RelayAnswer } from '../../src/relay/RelayAnswer.js'
+import { ANSWER_HEAD_HEADER, encodeHead, type RelayAnswerHead } from '../../src/relay/RelayHead.js'
 import { storeAnswer } from '../../src/relay/storeAnswer.js'
+import { PeerSignature } from '../../src/transport/PeerSignature.js'
 import { Outcome } from '../../src/types/Outcome.js'
+import { RefusalReason } from '../../src/types/RefusalReason.js'
+import { openRawServer } from '../support/openRawServer.js'
+import { createRelayedRequest } from './createRelayedRequest.js'
 import { DEADLINE_MILLISECONDS, forwardThroughOwner } from './forwardThroughOwner.js'
 
-for (const { name, body } of [{ name: 'a small answer', body: 'part' }, { name: 'a streamed answer', body: 'p'.repeat(100) }]) {
-  test(`${name} that ends with the upstream's connection is marked so behind the hop between hosts`, async (context) => {
-    const { answer } = await forwardThroughOwner(context, (socket) => { socket.end(`HTTP/1.1 200 OK\r\nhibiscusrelay-request: r\r\nConnection: close\r\n\r\n${body}`) })
-    assert.equal(answer.status, 200)
-    assert.equal(answer.endsWithConnection, true)
-  })
+const SMALL = 'part'
+const STREAMED = 'p'.repeat(100)
+const ANSWER_HEAD: RelayAnswerHead = { id: 'r', outcome: Outcome.Ran, reason: undefined, lostUpstreams: [], status: 200, headers: [], pool: undefined }
+
+function composeAnswer (body: string): string {
+  return `HTTP/1.1 200 OK\r\nhibiscusrelay-request: r\r\nConnection: close\r\n\r\n${body}`
+}
+
+/** @returns the body of an answer, undefined when it breaks off */
+async function readBody ({ body }: RelayAnswer): Promise<string | undefined> {
+  try {
+    return Buffer.isBuffer(body) ? body.toString() : Buffer.concat(await (body as Readable).toArray()).toString()
+  } catch {
+    // Any error marks the body as cut.
+    return undefined
+  }
 }
 
-test('the answer to a one-time action whose end is not proved is not stored as the whole answer', async () => {
+/** @returns how the ledger records the answer to a one-time action */
+async function record (answer: RelayAnswer): Promise<string[]> {
   const calls: string[] = []
   const ledger = { complete: async () => { calls.push('complete') }, markUnknown: async () => { calls.push('unknown') }, release: async () => { calls.push('release') } } as unknown as ClaimLedger
-  const answer: RelayAnswer = { outcome: Outcome.Ran, reason: undefined, status: 200, headers: [], body: Buffer.from('part'), endsWithConnection: true, pool: undefined }
   await storeAnswer(ledger, 'k', answer, performance.now() + DEADLINE_MILLISECONDS)
-  assert.deepEqual(calls, ['unknown'])
+  return calls
+}
+
+for (const { name, body } of [{ name: 'a small answer', body: SMALL }, { name: 'a streamed answer', body: STREAMED }]) {
+  test(`${name} without a length is whole behind the hop between hosts when its upstream lives on`, async (context) => {
+    const { answer, runs } = await forwardThroughOwner(context, (socket) => { socket.end(composeAnswer(body)) }, { isAlive: async () => true })
+    assert.equal(answer.status, 200)
+    assert.equal(await readBody(answer), body)
+    assert.equal(runs, 1)
+  })
+}
+
+test('the answer to a one-time action whose end is not proved is neither passed on nor stored as the whole answer', async (context) => {
+  const { answer } = await forwardThroughOwner(context, (socket) => { socket.end(composeAnswer(SMALL)) })
+  assert.equal(answer.outcome, Outcome.Unknown)
+  assert.equal(answer.reason, RefusalReason.AnswerLost)
+  assert.deepEqual(await record(answer), ['unknown'])
+})
+
+test('the answer to a one-time action whose end is proved is stored as the whole answer', async (context) => {
+  const { answer } = await forwardThroughOwner(context, (socket) => { socket.end(composeAnswer('a')) }, { isAlive: async () => true })
+  assert.deepEqual(await record(answer), ['complete'])
+})
+
+test('a streamed answer whose end is not proved breaks off behind the hop, and is not stored as the whole answer', async (context) => {
+  const { answer } = await forwardThroughOwner(context, (socket) => { socket.end(composeAnswer(STREAMED)) })
+  assert.deepEqual(await record(answer), ['unknown'])
+  assert.equal(await readBody(answer), undefined)
 })
+
+const OWNER_ANSWERS = [
+  { name: 'that the hop itself does not delimit', head: ANSWER_HEAD, framing: 'connection: close' },
+  { name: 'whose mark of an earlier version tells that nothing delimits it', head: { ...ANSWER_HEAD, endsWithConnection: true }, framing: `content-length: ${SMALL.length}` }
+]
+
+for (const { name, head, framing } of OWNER_ANSWERS) {
+  test(`an answer of an owner ${name} is lost, not whole`, async () => {
+    const server = await openRawServer((socket) => { socket.end(`HTTP/1.1 200 OK\r\n${ANSWER_HEAD_HEADER}: ${encodeHead(head)}\r\n${framing}\r\n\r\n${SMALL}`) })
+    const pool = openPool(server.address, { connections: 1, connectTimeoutMilliseconds: DEADLINE_MILLISECONDS })
+    const answer = await forwardToOwner(createRelayedRequest('f', DEADLINE_MILLISECONDS), {
+      address: server.address, poison: new PoisonGuard(), gone: new AbortController().signal, takeRetry: () => false, fromRegion: 'asturias', trySpend: () => true, connections: pool, signature: new PeerSignature('k'.repeat(40)), answerBufferBytes: 1_024
+    })
+    assert.equal(answer.outcome, Outcome.Unknown)
+    assert.equal(answer.reason, RefusalReason.AnswerLost)
+    await pool.destroy()
+    await server.close()
+  })
+}
--- a/__tests__/relay/forwardThroughOwner.ts
+++ b/__tests__/relay/forwardThroughOwner.ts
@@ -2,7 +2,7 @@
 import { Counters } from '../../src/observe/Counters.js'
 import { StopWindow } from '../../src/limits/StopWindow.js'
 import { forwardToOwner } from '../../src/relay/forwardToOwner.js'
-import { Owner } from '../../src/relay/Owner.js'
+import { Owner, type OwnerOptions } from '../../src/relay/Owner.js'
 import { PeerConnections } from '../../src/relay/PeerConnections.js'
 import { PoisonGuard } from '../../src/relay/PoisonGuard.js'
 import { PoolRegistry } from '../../src/relay/PoolRegistry.js'
@@ -33,16 +33,16 @@
  * Sends a request through two hosts to an upstream.
  *
  * @param respond - writes the upstream's answer
- * @param stopWindow - stop window of the owner
+ * @param options - stop window of the owner, and how it finds out whether the upstream is alive; by default never
  */
-export async function forwardThroughOwner (context: TestContext, respond: Parameters<typeof openRawServer>[0], stopWindow = new StopWindow()): Promise<ForwardResult> {
+export async function forwardThroughOwner (context: TestContext, respond: Parameters<typeof openRawServer>[0], { stopWindow = new StopWindow(), isAlive = async () => false }: { stopWindow?: StopWindow, isAlive?: OwnerOptions['isAlive'] } = {}): Promise<ForwardResult> {
   const server = await openRawServer(respond)
   const poison = new PoisonGuard()
   const pools = new PoolRegistry({ queueLength: 1, cap: { admit: () => true, rate: () => Infinity, recordDemand: () => {} } })
   const upstream = new Upstream(createAnnouncement({ address: server.address, echoesRequest: true }))
   upstream.extendGrant(performance.now() + 60_000)
   pools.ensure('inventario').upstreams.set(upstream.address, upstream)
-  const owner = new Owner({ pools, poison, retryBudget: () => new RetryBudget(0), onBroken: async () => {}, beginSuspect: async () => () => {}, onCleared: () => {}, answerBufferBytes: BUFFER_BYTES, counters: new Counters(), log: silentLog })
+  const owner = new Owner({ pools, poison, retryBudget: () => new RetryBudget(0), onBroken: async () => {}, isAlive, beginSuspect: async () => () => {}, onCleared: () => {}, answerBufferBytes: BUFFER_BYTES, counters: new Counters(), log: silentLog })
   const signature = new PeerSignature('k'.repeat(40))
   const peerServer = new PeerServer(signature, new Counters())
   peerServer.registerRelay(async (encodedHead, requestBody, message, response) => {
--- a/__tests__/relay/ownerPause.test.ts
+++ b/__tests__/relay/ownerPause.test.ts
@@ -29,7 +29,7 @@
   const upstream = new Upstream(createAnnouncement({ address: server.address, echoesRequest: true }))
   upstream.extendGrant(performance.now() + GRANT_MILLISECONDS)
   pools.ensure('inventario').upstreams.set(upstream.address, upstream)
-  const owner = new Owner({ pools, poison, retryBudget: () => noRetries, onBroken: async () => {}, beginSuspect: async () => () => {}, onCleared: () => {}, answerBufferBytes: 16, counters: new Counters(), log: silentLog })
+  const owner = new Owner({ pools, poison, retryBudget: () => noRetries, onBroken: async () => {}, isAlive: async () => false, beginSuspect: async () => () => {}, onCleared: () => {}, answerBufferBytes: 16, counters: new Counters(), log: silentLog })
   context.after(async () => {
     await upstream.close()
     await server.close()
--- a/__tests__/relay/repeatedAnswer.test.ts
+++ b/__tests__/relay/repeatedAnswer.test.ts
@@ -26,7 +26,7 @@
   upstream.extendGrant(performance.now() + 60_000)
   pools.ensure('inventario').upstreams.set(upstream.address, upstream)
   const owner = new Owner({
-    pools, poison: new PoisonGuard(), retryBudget: () => new RetryBudget(0), onBroken: async () => {}, beginSuspect: async () => () => {}, onCleared: () => {}, answerBufferBytes: 65_536, counters: new Counters(), log: silentLog
+    pools, poison: new PoisonGuard(), retryBudget: () => new RetryBudget(0), onBroken: async () => {}, isAlive: async () => false, beginSuspect: async () => () => {}, onCleared: () => {}, answerBufferBytes: 65_536, counters: new Counters(), log: silentLog
   })
   context.after(async () => {
     await upstream.close()
--- a/__tests__/support/createSender.ts
+++ b/__tests__/support/createSender.ts
@@ -28,7 +28,7 @@
   const detector = new CrashDetector({ runs, crashes, known: options.known, probe: options.probe, onChange: () => {}, saveLosses: async () => {}, log: silentLog })
   const gate = new SuspectGate({ crashes, detector, listControlHosts: () => ['control'], callPeer: createPermitCalls(), log: silentLog })
   const notices = new UpstreamNotices({ hostName: 'entry-1', known: options.known, loads: options.loads, onLeaving: () => {}, counters: new Counters(), log: silentLog })
-  const sender = new UpstreamSender({ ...options, notices, runs, crashes, detector, onExcuse: () => {}, stopWindow: new StopWindow(), log: silentLog })
+  const sender = new UpstreamSender({ ...options, notices, runs, crashes, detector, onExcuse: () => {}, stopWindow: new StopWindow(), counters: new Counters(), log: silentLog })
   return { gate, runs, sender, crashes, detector }
 }
 
--- a/src/daemon/HostRelay.ts
+++ b/src/daemon/HostRelay.ts
@@ -99,6 +99,7 @@
       poison: this.poison,
       retryBudget: (service) => this.#getRetryBudget(service),
       onBroken: (upstream) => crashReporter.checkUpstream(upstream),
+      isAlive: async (upstream) => await crashReporter.isAlive(upstream) && this.pools.has(upstream),
       beginSuspect: (request) => this.#suspectRuns.begin(request),
       onCleared: (record) => { this.#suspectRuns.reportCleared(record).catch(() => {}) },
       answerBufferBytes: settings.limits.answerBufferBytes,
--- a/src/entry/CrashDetector.ts
+++ b/src/entry/CrashDetector.ts
@@ -4,6 +4,7 @@
 import { getIncarnation, UpstreamReadiness, type UpstreamRecord } from '../registry/UpstreamRecord.js'
 import { Step } from '../types/Step.js'
 import { abbreviateFingerprint } from '../utils/abbreviateFingerprint.js'
+import { FreshLooks } from '../utils/FreshLooks.js'
 import { pause } from '../utils/pause.js'
 import { ListenerState, probeListener } from '../utils/probeListener.js'
 import { RecentMap } from '../utils/RecentMap.js'
@@ -43,6 +44,7 @@
   readonly #options: CrashDetectorOptions
   readonly #checksByIncarnation = new Map<string, Promise<void>>()
   readonly #savesByIncarnation = new Map<string, Promise<void>>()
+  readonly #looks = new FreshLooks()
   readonly #aliveAt = new RecentMap<number>(MINIMUM_REMEMBERED_UPSTREAMS)
   readonly #ended = new RecentMap<boolean>(MINIMUM_REMEMBERED_UPSTREAMS)
   #reviewTimer: NodeJS.Timeout | undefined
@@ -65,6 +67,21 @@
     await this.#savesByIncarnation.get(incarnation)
   }
 
+  /**
+   * Finds out whether an upstream has not ended. Unlike {@link CrashDetector.checkUpstream} it counts neither a check that began
+   * before, nor an announcement that the upstream leaves, nor the want of an own connection as a sign of life.
+   *
+   * @returns whether a connection that was opened after this call showed that the upstream lives
+   */
+  async isAlive (record: UpstreamRecord): Promise<boolean> {
+    const { known } = this.#options
+    const incarnation = getIncarnation(record)
+    const hasEnded = (): boolean => this.#ended.get(incarnation) === true || known.upstreams.isReplaced(record)
+    if (hasEnded()) return false
+    const isListening = await this.#looks.look(incarnation, async () => [ListenerState.Open, ListenerState.ClosedEarly].includes(await this.#probe(record.address)))
+    return isListening && !hasEnded()
+  }
+
   /** Checks the upstreams of copies in flight, so that a request does not end a second upstream while the first one is silent. */
   async checkCopies (fingerprint: string): Promise<void> {
     const { runs } = this.#options
@@ -127,20 +144,21 @@
   async #checkOnce (record: UpstreamRecord, incarnation: string): Promise<void> {
     const { known } = this.#options
     const hasEnded = this.#ended.get(incarnation) === true || known.upstreams.isReplaced(record)
-    const isAlive = !hasEnded && await this.#isListening(record.address)
+    const isAlive = !hasEnded && await this.#probe(record.address) !== ListenerState.Unreachable
     // Another start of the upstream may have been announced meanwhile, at the same address.
     if (isAlive && !known.upstreams.isReplaced(record)) this.recordAlive(record)
     else this.#recordEnd(record, incarnation)
   }
 
-  async #isListening (address: string): Promise<boolean> {
+  /** @returns what a connection showed; {@link ListenerState.ClosedEarly} when several ones were closed soon */
+  async #probe (address: string): Promise<ListenerState> {
     const { probe = probeUpstream } = this.#options
     for (let attempt = 0; attempt < MAXIMUM_PROBES; attempt += 1) {
       const state = await probe(address)
-      if (state !== ListenerState.ClosedEarly) return state !== ListenerState.Unreachable
+      if (state !== ListenerState.ClosedEarly) return state
       await pause(PROBE_PAUSE_MILLISECONDS)
     }
-    return true
+    return ListenerState.ClosedEarly
   }
 
   #recordEnd (record: UpstreamRecord, incarnation: string): void {
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -201,7 +201,7 @@
   }
 
   #createSender (): UpstreamSender {
-    const { protocol, log } = this.#options
+    const { protocol, counters, log } = this.#options
     return new UpstreamSender({
       known: this.#known,
       loads: this.#loads,
@@ -211,8 +211,9 @@
       crashes: this.#crashes,
       detector: this.#crashDetector,
       onExcuse: () => { this.#crashSharer.share() },
-      notices: new UpstreamNotices({ hostName: this.#options.settings().name, known: this.#known, loads: this.#loads, onLeaving: () => { this.#pruneGoneUpstreams() }, counters: this.#options.counters, log }),
+      notices: new UpstreamNotices({ hostName: this.#options.settings().name, known: this.#known, loads: this.#loads, onLeaving: () => { this.#pruneGoneUpstreams() }, counters, log }),
       stopWindow: this.#stopWindow,
+      counters,
       answerBufferBytes: MAXIMUM_BUFFERED_ANSWER_BYTES,
       answerBudget: new AnswerBudget(MAXIMUM_BUFFERED_BYTES, MAXIMUM_STREAMED_ANSWERS),
       log
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -176,8 +176,8 @@
       load.recordSuccess(now)
       loads.warmObjects.recordHandled(this.#getPlacementKey(request, progress), record.id, now)
       progress.sendCount += 1
-      const { status, headers, body, endsWithConnection } = answer
-      return { outcome: Outcome.Ran, reason: undefined, status, headers, body, endsWithConnection, pool: undefined }
+      const { status, headers, body } = answer
+      return { outcome: Outcome.Ran, reason: undefined, status, headers, body, pool: undefined }
     }
     discard(answer)
     progress.sendCount += 1
--- a/src/entry/GuestListener.ts
+++ b/src/entry/GuestListener.ts
@@ -6,10 +6,11 @@
 import { refusalCounter } from '../observe/declareCounters.js'
 import type { Log } from '../observe/Log.js'
 import { chooseRetryAfter } from '../placement/chooseRetryAfter.js'
-import { deliverAnswer } from '../relay/deliverBody.js'
+import { deliverAnswer } from '../relay/deliverAnswer.js'
 import { isHopByHopHeader } from '../relay/isHopByHopHeader.js'
 import { refuse } from '../relay/refuse.js'
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
+import { replaceUnframableAnswer } from '../relay/replaceUnframableAnswer.js'
 import { countHeadBytes } from '../guest/countHeadBytes.js'
 import { listEndToEndHeaders } from '../guest/listEndToEndHeaders.js'
 import { readBodyUntil } from '../transport/readBodyUntil.js'
@@ -74,9 +75,9 @@
     const request = await this.#readRequest(message, cancellation.signal, memory)
     if (typeof request === 'string') return await this.#refuse(message, response, request)
     if (await hasCallerDisconnected(message)) return this.#discardRequest(response, request)
-    const answer = await this.#options.relay.serve(request)
+    const relayedAnswer = await this.#options.relay.serve(request)
     if (response.destroyed) return
-    await this.#deliver(response, answer, request)
+    await this.#deliver(response, replaceUnframableAnswer(relayedAnswer, message, request.id, this.#options), request)
   }
 
   /** Discards a request whose guest disconnected before it was sent to an upstream. */
--- a/src/entry/UpstreamSender.ts
+++ b/src/entry/UpstreamSender.ts
@@ -2,8 +2,10 @@
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
 import type { KnownState } from '../follow/KnownState.js'
 import type { StopWindow } from '../limits/StopWindow.js'
+import type { Counters } from '../observe/Counters.js'
 import type { Log } from '../observe/Log.js'
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
+import { createEndConfirmation } from '../relay/createEndConfirmation.js'
 import { exchange, type AnswerHead, type AnswerLimits, type ExchangeAnswer } from '../relay/exchange.js'
 import { Step } from '../types/Step.js'
 import type { CrashDetector } from './CrashDetector.js'
@@ -27,6 +29,7 @@
   onExcuse: () => void
   notices: Pick<UpstreamNotices, 'record'>
   stopWindow: Pick<StopWindow, 'admits'>
+  counters: Counters
   log: Log
 }
 
@@ -92,7 +95,7 @@
   }
 
   #exchange (request: EntryRequest, record: UpstreamRecord, onWrite: () => void): Promise<ExchangeAnswer> {
-    const { connections, protocol, answerBufferBytes, answerBudget, stopWindow } = this.#options
+    const { connections, protocol, answerBufferBytes, answerBudget, stopWindow, detector, counters, log } = this.#options
     return exchange(connections.to(record), {
       peer: record.address,
       method: request.method,
@@ -109,7 +112,8 @@
       isHeadSufficient: (head) => protocol.classifyAnswer(request, head) !== AnswerKind.Own,
       onHead: (head) => { this.#recordNotice(request, record, head) },
       mayWrite: () => stopWindow.admits(request.deadline) && this.#canStillUse(record),
-      onWrite
+      onWrite,
+      confirmEnd: createEndConfirmation({ id: request.id, peer: record.address, isAlive: () => detector.isAlive(record), counters, log })
     })
   }
 
--- a/src/errors/errorTexts.ts
+++ b/src/errors/errorTexts.ts
@@ -38,6 +38,9 @@
   sheetDigestMismatch: (number: number) => `the content of sheet ${number} does not match the given digest`,
   spreadDigestMismatch: (number: number) => `the content received for sheet ${number} does not match its digest`,
 
+  // Exchanges
+  answerEndNotConfirmed: () => 'the answer ended with its connection, and nothing confirms that it is whole',
+
   // State feed of control hosts
   feedNotReady: () => 'this control host has just started and has not yet collected the state that it serves',
 
--- a/src/guest/GuestInterface.ts
+++ b/src/guest/GuestInterface.ts
@@ -5,12 +5,14 @@
 import type { Log } from '../observe/Log.js'
 import { AnnouncementHandler } from '../relay/AnnouncementHandler.js'
 import { announcementSchema } from '../relay/Announcement.js'
-import { createLengthHeader, deliverAnswer } from '../relay/deliverBody.js'
+import { createLengthHeader } from '../relay/deliverBody.js'
+import { deliverAnswer } from '../relay/deliverAnswer.js'
 import type { Ingress } from '../relay/Ingress.js'
 import { isHopByHopHeader } from '../relay/isHopByHopHeader.js'
 import { answerUnknown, refuse } from '../relay/refuse.js'
 import { getRefusalStatus } from '../relay/getRefusalStatus.js'
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
+import { replaceUnframableAnswer } from '../relay/replaceUnframableAnswer.js'
 import type { LimitSettings, TimingSettings } from '../settings/Settings.js'
 import { readBody } from '../transport/readBody.js'
 import { HeldAmount } from '../limits/HeldAmount.js'
@@ -127,7 +129,7 @@
     if (await hasCallerDisconnected(message)) return this.#discardRequest(response, request.id)
     const guestPlace = sheet?.guestBlocks.findPlace(message.socket.remoteAddress ?? '')
     const answer = await this.#options.ingress.serve(request, guestPlace)
-    await this.#deliver(response, answer, request.id)
+    await this.#deliver(response, replaceUnframableAnswer(answer, message, request.id, this.#options), request.id)
   }
 
   /** Discards a request whose guest disconnected before it was relayed. */
--- a/src/observe/declareCounters.ts
+++ b/src/observe/declareCounters.ts
@@ -6,6 +6,13 @@
 /** Name of the counter of lost answers whose requests were not retried because the retry budget was used up. */
 export const RETRY_BUDGET_COUNTER = 'retry-budget.used-up'
 
+/** Name of the counter of answers that ended with their connection and whose upstream was alive afterwards. */
+export const END_CONFIRMED_COUNTER = 'answer-end.confirmed'
+/** Name of the counter of answers that ended with their connection and are lost, as nothing confirmed that they were whole. */
+export const END_UNCONFIRMED_COUNTER = 'answer-end.unconfirmed'
+/** Name of the counter of answers that could not reach their HTTP/1.0 guest, since nothing would have told where they end. */
+export const UNFRAMABLE_COUNTER = 'answer-end.not-for-http-1.0'
+
 /**
  * Declares the counters of all refusal reasons, retry reasons and outcomes, so that they are readable from the start.
  *
@@ -15,6 +22,7 @@
   for (const reason of Object.values(RefusalReason)) counters.declare(refusalCounter(reason))
   for (const reason of Object.values(RetryReason)) counters.declare(retryCounter(reason))
   counters.declare(RETRY_BUDGET_COUNTER)
+  for (const counter of [END_CONFIRMED_COUNTER, END_UNCONFIRMED_COUNTER, UNFRAMABLE_COUNTER]) counters.declare(counter)
   for (const outcome of Object.values(Outcome)) counters.declare(outcomeCounter(outcome))
 }
 
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -4,6 +4,7 @@
 import { errorTexts } from '../errors/errorTexts.js'
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
 import type { ExchangeAnswer, ExchangeRequest } from './exchange.js'
+import { hasDelimitedBody } from './hasDelimitedBody.js'
 import type { HeaderField } from './RelayedRequest.js'
 
 const UNREACHABLE_ERROR_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL'])
@@ -11,14 +12,14 @@
 /** Buffer of an answer that is passed on while it arrives: what its receiver does not read stays at the sender. */
 const STREAM_BUFFER_BYTES = 16_384
 const ANSWER_DISCARDED = 'the rest of the answer is not needed'
-const BODILESS_STATUSES = new Set([204, 304])
 
 /** Handles one exchange: records whether bytes were written, collects the answer and enforces the deadline. */
 export class AnswerCollector implements Dispatcher.DispatchHandler {
   readonly answer: Promise<ExchangeAnswer>
+  /** Resolves with undefined when the whole answer has arrived, or with the failure that ended the exchange before. */
+  readonly finished: Promise<ExchangeFailure | undefined>
   readonly #request: ExchangeRequest
   readonly #isStale: () => boolean
-  readonly #finished: Promise<ExchangeFailure | undefined>
   readonly #timer: NodeJS.Timeout
   readonly #onCancelled = () => { this.#cancel() }
   readonly #chunks: Buffer[] = []
@@ -48,7 +49,7 @@
       this.#resolve = resolve
       this.#reject = reject
     })
-    this.#finished = new Promise((resolve) => { this.#resolveFinished = resolve })
+    this.finished = new Promise((resolve) => { this.#resolveFinished = resolve })
     this.#timer = setTimeout(() => { this.#abort(ExchangeFailure.TimedOut) }, Math.max(0, request.deadline - performance.now()))
     request.cancelled.addEventListener('abort', this.#onCancelled, { once: true })
     if (request.cancelled.aborted) this.#abort(ExchangeFailure.Cancelled)
@@ -78,7 +79,7 @@
   onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
     this.#status = status
     this.#headers = listHeaders(headers)
-    this.#endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && !hasNoBody(this.#request.method, status)
+    this.#endsWithConnection = !hasDelimitedBody({ method: this.#request.method, status, headers })
     const head = { status, headers: this.#headers }
     this.#request.onHead?.(head)
     if (this.#request.isHeadSufficient?.(head) === true) this.#endAtHead(controller)
@@ -95,12 +96,10 @@
   }
 
   onResponseEnd (): void {
-    this.#markEnded(undefined)
-    if (this.#stream !== undefined) {
-      this.#stream.end()
-      return
-    }
-    this.#resolve(this.#createAnswer(Buffer.concat(this.#chunks, this.#bufferedBytes)))
+    if (!this.#endsWithConnection) return this.#finish()
+    // The library does no more for this exchange: what ends it from here on, ends it at once.
+    this.#controller = undefined
+    this.#confirmEnd().catch((error: unknown) => { this.#abort(ExchangeFailure.Broken, String(error)) })
   }
 
   onResponseError (_controller: Dispatcher.DispatchController | null, cause: Error): void {
@@ -112,6 +111,19 @@
     this.#reject(error)
   }
 
+  async #confirmEnd (): Promise<void> {
+    const isConfirmed = await this.#request.confirmEnd?.()
+    if (isConfirmed !== true) return this.#abort(ExchangeFailure.Broken, errorTexts.answerEndNotConfirmed())
+    // Its deadline may have passed, or its receiver may have left meanwhile.
+    if (!this.#hasEnded) this.#finish()
+  }
+
+  #finish (): void {
+    this.#markEnded(undefined)
+    if (this.#stream !== undefined) this.#stream.end()
+    else this.#resolve(this.#createAnswer(Buffer.concat(this.#chunks, this.#bufferedBytes)))
+  }
+
   /** Resolves without a body, and closes the connection: bytes that follow on it would reach the next request. */
   #endAtHead (controller: Dispatcher.DispatchController): void {
     this.#markEnded(undefined)
@@ -157,7 +169,7 @@
   }
 
   #createAnswer (body: Buffer | PassThrough): ExchangeAnswer {
-    return { status: this.#status, headers: this.#headers, body, endsWithConnection: this.#endsWithConnection, finished: this.#finished }
+    return { status: this.#status, headers: this.#headers, body, finished: this.finished }
   }
 
   /**
@@ -192,10 +204,6 @@
   return ExchangeFailure.Broken
 }
 
-function hasNoBody (method: string, status: number): boolean {
-  return method === 'HEAD' || BODILESS_STATUSES.has(status)
-}
-
 function listHeaders (headers: IncomingHttpHeaders): HeaderField[] {
   return Object.entries(headers).flatMap(([name, value]) => {
     if (Array.isArray(value)) return value.map((each) => ({ name, value: each }))
--- a/src/relay/CrashReporter.ts
+++ b/src/relay/CrashReporter.ts
@@ -1,6 +1,7 @@
 import type { Counters } from '../observe/Counters.js'
 import type { Log } from '../observe/Log.js'
 import { Step } from '../types/Step.js'
+import { FreshLooks } from '../utils/FreshLooks.js'
 import { isListening } from '../utils/isListening.js'
 import { selectBlamedRequests } from './selectBlamedRequests.js'
 import type { PoisonGuard, PoisonRecord } from './PoisonGuard.js'
@@ -24,6 +25,7 @@
 export class CrashReporter {
   readonly #options: CrashReporterOptions
   readonly #runningChecks = new Map<Upstream, Promise<void>>()
+  readonly #looks = new FreshLooks()
 
   /** @param options - poison guard, peers and callbacks */
   constructor (options: CrashReporterOptions) {
@@ -48,6 +50,11 @@
     this.#runningChecks.delete(upstream)
   }
 
+  /** @returns whether an upstream listens, found out after this call began */
+  async isAlive ({ address }: Upstream): Promise<boolean> {
+    return await this.#looks.look(address, () => isListening(address, CONNECT_TIMEOUT_MILLISECONDS, MINIMUM_CONNECTION_LIFETIME_MILLISECONDS))
+  }
+
   async #checkOnce (upstream: Upstream): Promise<void> {
     const fingerprints = [...upstream.inFlight].map((request) => request.fingerprint)
     if (await isListening(upstream.address, CONNECT_TIMEOUT_MILLISECONDS, MINIMUM_CONNECTION_LIFETIME_MILLISECONDS)) return
--- a/src/relay/Owner.ts
+++ b/src/relay/Owner.ts
@@ -6,6 +6,7 @@
 import { RefusalReason } from '../types/RefusalReason.js'
 import { RetryReason } from '../types/RetryReason.js'
 import { Step } from '../types/Step.js'
+import { createEndConfirmation } from './createEndConfirmation.js'
 import { createUpstreamRequest } from './createUpstreamRequest.js'
 import { parseRetryAfter } from './parseRetryAfter.js'
 import { exchange, type AnswerLimits, type ExchangeAnswer } from './exchange.js'
@@ -34,6 +35,8 @@
   retryBudget: (service: string) => RetryBudget
   /** Called when a connection broke with a request in flight; resolves once it is known whether the upstream died. */
   onBroken: (upstream: Upstream, fingerprint: string) => Promise<void>
+  /** Finds out, from after the call on, whether an upstream has not ended. */
+  isAlive: (upstream: Upstream) => Promise<boolean>
   /** Waits for the permit to run a suspect; resolves with a function that returns the permit, or with the reason for the refusal. */
   beginSuspect: (request: RelayedRequest) => Promise<(() => void) | RefusalReason>
   /** Called when a suspect has run to completion. */
@@ -129,7 +132,7 @@
     upstream.lastStartedAt = startedAt
     upstream.inFlight.add(request)
     try {
-      const answer = await exchange(upstream.connections, createUpstreamRequest(request, upstream, this.#options))
+      const answer = await exchange(upstream.connections, { ...createUpstreamRequest(request, upstream, this.#options), confirmEnd: this.#createEndConfirmation(upstream, request) })
       this.#releaseAfter(answer.finished, pool, upstream, request, isSuspect, startedAt)
       return this.#interpret(answer, upstream, request, performance.now() - startedAt)
     } catch (error) {
@@ -138,6 +141,11 @@
     }
   }
 
+  #createEndConfirmation (upstream: Upstream, { id }: RelayedRequest): () => Promise<boolean> {
+    const { isAlive, counters, log } = this.#options
+    return createEndConfirmation({ id, peer: upstream.address, isAlive: () => isAlive(upstream), counters, log })
+  }
+
   #releaseAfter (finished: Promise<unknown>, pool: UpstreamPool, upstream: Upstream, request: RelayedRequest, isSuspect: boolean, startedAt: number): void {
     finished.then(() => {
       upstream.inFlight.delete(request)
@@ -156,7 +164,7 @@
       return answerUnknown(RefusalReason.AnswerLost)
     }
     this.#recordSuccess(request)
-    return { outcome: Outcome.Ran, reason: undefined, status: answer.status, headers: answer.headers, body: answer.body, endsWithConnection: answer.endsWithConnection, run: { runMilliseconds }, pool: undefined }
+    return { outcome: Outcome.Ran, reason: undefined, status: answer.status, headers: answer.headers, body: answer.body, run: { runMilliseconds }, pool: undefined }
   }
 
   #recordSuccess ({ fingerprint }: RelayedRequest): void {
--- a/src/relay/PoolRegistry.ts
+++ b/src/relay/PoolRegistry.ts
@@ -1,5 +1,6 @@
 import type { PoolSummary } from '../types/PoolSummary.js'
 import type { ServiceCap } from './ServiceCap.js'
+import type { Upstream } from './Upstream.js'
 import { UpstreamPool } from './UpstreamPool.js'
 
 /** Settings of the pools in a {@link PoolRegistry}. */
@@ -33,6 +34,11 @@
     return pool
   }
 
+  /** @returns whether an upstream is still in its pool: neither found dead nor replaced by another process at its address */
+  has (upstream: Upstream): boolean {
+    return this.find(upstream.service)?.upstreams.get(upstream.address) === upstream
+  }
+
   /** @returns all pools */
   list (): UpstreamPool[] {
     return [...this.#pools.values()]
--- a/src/relay/RelayHead.ts
+++ b/src/relay/RelayHead.ts
@@ -32,7 +32,7 @@
   lostUpstreams: string[]
   status: number
   headers: HeaderField[]
-  /** Whether the end of the upstream's connection delimits the body; absent from earlier versions. */
+  /** Sent by earlier versions only: the end of the upstream's connection delimits the body, and nothing confirmed that it is whole. */
   endsWithConnection?: boolean
   pool: AnswerReport | undefined
 }
--- a/src/relay/deliverBody.ts
+++ b/src/relay/deliverBody.ts
@@ -1,7 +1,6 @@
 import type { ServerResponse } from 'node:http'
 import type { Readable } from 'node:stream'
 import { pipeline } from 'node:stream/promises'
-import type { RelayAnswer } from './RelayAnswer.js'
 
 /**
  * Sends a body and ends the response. A stream that breaks off destroys the connection,
@@ -26,19 +25,3 @@
 export function createLengthHeader (body: Buffer | Readable): Record<string, string> {
   return Buffer.isBuffer(body) ? { 'content-length': String(body.length) } : {}
 }
-
-/**
- * Sends status and body of an answer; the headers must have been set. A body that was delimited by the end of the
- * upstream's connection may be truncated. It ends with the guest's connection, too, so that no length makes it look complete.
- *
- * @param answer - the answer to send
- * @param response - response to the guest
- */
-export async function deliverAnswer ({ status, body, endsWithConnection }: RelayAnswer, response: ServerResponse): Promise<void> {
-  if (endsWithConnection === true) {
-    response.useChunkedEncodingByDefault = false
-    response.shouldKeepAlive = false
-    response.writeHead(status)
-  } else response.writeHead(status, createLengthHeader(body))
-  await deliverBody(body, response)
-}
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -38,6 +38,11 @@
   mayWrite: () => boolean
   /** Called when the request is about to be written; from then on it may run. */
   onWrite?: () => void
+  /**
+   * Called when the connection ended in order behind an answer that only its end delimits; resolves with whether the answer is
+   * whole. The answer waits for it within its deadline. By default no such answer is whole.
+   */
+  confirmEnd?: () => Promise<boolean>
 }
 
 /** Status and headers of an answer. */
@@ -49,8 +54,6 @@
   headers: HeaderField[]
   /** The complete body, or a stream of a body larger than the buffer. */
   body: Buffer | Readable
-  /** Whether the end of the connection delimits the body, so that a truncated body looks like a complete one. */
-  endsWithConnection: boolean
   /** Resolves with undefined when the last byte of the answer has arrived, or with the failure that ended it before. */
   finished: Promise<ExchangeFailure | undefined>
 }
--- a/src/relay/forwardToOwner.ts
+++ b/src/relay/forwardToOwner.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from 'undici'
+import { errorTexts } from '../errors/errorTexts.js'
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
 import type { PeerSignature } from '../transport/PeerSignature.js'
 import { SIGNATURE_HEADER } from '../transport/PeerSignature.js'
@@ -6,7 +7,7 @@
 import { RequestClass } from '../types/RequestClass.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { joinSignals } from '../utils/joinSignals.js'
-import { exchange, type AnswerLimits } from './exchange.js'
+import { exchange, type AnswerLimits, type ExchangeAnswer } from './exchange.js'
 import { answerFailedExchange } from './answerFailedExchange.js'
 import type { PoisonGuard } from './PoisonGuard.js'
 import { answerUnknown, refuse } from './refuse.js'
@@ -63,12 +64,7 @@
       closeConnection: false,
       mayWrite: request.mayStart
     })
-    const headField = answer.headers.find(({ name }) => name === ANSWER_HEAD_HEADER)
-    const answerHead = headField === undefined ? undefined : decodeHead<RelayAnswerHead>(headField.value)
-    if (answerHead?.id !== request.id) throw new ExchangeError(ExchangeFailure.Broken, owner.address, true)
-    const { id, lostUpstreams, ...rest } = answerHead
-    if (lostUpstreams.length > 0) owner.poison.recordLoss({ fingerprint: request.fingerprint, lostUpstreams })
-    return { ...rest, body: answer.body }
+    return readOwnerAnswer(answer, request, owner)
   } catch (error) {
     if (!(error instanceof ExchangeError)) throw error
     if (error.failure === ExchangeFailure.Unreachable) return refuse(RefusalReason.OwnerUnreachable)
@@ -81,6 +77,19 @@
   }
 }
 
+function readOwnerAnswer ({ headers, body }: ExchangeAnswer, request: RelayedRequest, owner: OwnerConnection): RelayAnswer {
+  const headField = headers.find(({ name }) => name === ANSWER_HEAD_HEADER)
+  const answerHead = headField === undefined ? undefined : decodeHead<RelayAnswerHead>(headField.value)
+  if (answerHead?.id !== request.id) throw new ExchangeError(ExchangeFailure.Broken, owner.address, true)
+  const { id, lostUpstreams, endsWithConnection, ...rest } = answerHead
+  if (lostUpstreams.length > 0) owner.poison.recordLoss({ fingerprint: request.fingerprint, lostUpstreams })
+  if (endsWithConnection === true) {
+    if (!Buffer.isBuffer(body)) body.destroy()
+    throw new ExchangeError(ExchangeFailure.Broken, owner.address, true, new Error(errorTexts.answerEndNotConfirmed()))
+  }
+  return { ...rest, body }
+}
+
 function encodeRequestHead (request: RelayedRequest, { fromRegion, poison }: OwnerConnection): string {
   return encodeHead(createRelayHead(request, fromRegion, poison.describe(request.fingerprint).lostUpstreams))
 }
