--- a/__tests__/entry/CrashDetector.test.ts
+++ b/__tests__/entry/CrashDetector.test.ts
@@ -77,3 +77,33 @@
   await detector.checkUpstream(record)
   assert.equal(crashes.countLosses('f'), 1)
 })
+
+// Guards against a part of an answer that looks whole because its upstream was still alive shortly before.
+test('an upstream is alive only if a connection that was opened after the question shows it', async () => {
+  const { detector, record } = createDetector(ListenerState.Open, ListenerState.Unreachable)
+  const earlier = detector.isAlive(record)
+  const later = [detector.isAlive(record), detector.isAlive(record)]
+  assert.equal(await earlier, true)
+  assert.deepEqual(await Promise.all(later), [false, false])
+})
+
+for (const [state, isAlive] of [[ListenerState.Open, true], [ListenerState.ClosedEarly, true], [ListenerState.Unreachable, false], [ListenerState.Unknown, false]] as const) {
+  test(`an upstream counts as ${isAlive ? '' : 'not '}alive behind an answer without a length when connections are ${state}`, async () => {
+    const { detector, record } = createDetector(state)
+    assert.equal(await detector.isAlive(record), isAlive)
+  })
+}
+
+test('an upstream that closes its sockets one after another, or announced that it leaves, is not alive for that', async () => {
+  const { detector, known, record } = createDetector(ListenerState.ClosedEarly, ListenerState.Unreachable)
+  known.merge(createFollowReply({ upstreams: [{ record: { ...record, sequence: 2, readiness: UpstreamReadiness.Draining }, isLost: false }] }))
+  assert.equal(await detector.isAlive(record), false)
+})
+
+test('an upstream is not alive when another start of it listens at its address', async () => {
+  const { detector, known, record } = createDetector(ListenerState.Open)
+  const pending = detector.isAlive(record)
+  known.merge(createFollowReply({ upstreams: [{ record: { ...record, bornAt: record.bornAt + 1 }, isLost: false }] }))
+  assert.equal(await pending, false)
+  assert.equal(await detector.isAlive(record), false)
+})
