--- a/__tests__/relay/createOwnerFixture.ts
+++ b/__tests__/relay/createOwnerFixture.ts
@@ -24,6 +24,7 @@
     poison: new PoisonGuard(),
     retryBudget: () => new RetryBudget(0),
     onBroken: async () => {},
+    isAlive: async () => true,
     beginSuspect: async () => () => {},
     onCleared: () => {},
     answerBufferBytes: 65_536,
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -20,6 +20,7 @@
 import type { CallPeer } from '../transport/CallPeer.js'
 import { Step } from '../types/Step.js'
 import { CrashDetector } from './CrashDetector.js'
+import { MAXIMUM_BODY_BYTES, MAXIMUM_BUFFERED_ANSWER_BYTES, MAXIMUM_BUFFERED_BYTES, MAXIMUM_STREAMED_ANSWERS } from './entryMemoryLimits.js'
 import { EntryRelay } from './EntryRelay.js'
 import { GuestListener, type GuestListenerOptions } from './GuestListener.js'
 import { ServiceAdmission } from './ServiceAdmission.js'
@@ -33,14 +34,6 @@
 
 /** Maximum size of the header of a request for the parser, which is set before a plan with its own limit is known. */
 const MAXIMUM_HEADER_BYTES = 65_536
-/** Answers up to this size are buffered completely before they are passed on. */
-const MAXIMUM_BUFFERED_ANSWER_BYTES = 262_144
-/** Bound on the buffered bytes of all answers together: a sixth of the memory of the smallest hosts. */
-const MAXIMUM_BUFFERED_BYTES = 33_554_432
-/** Bound on the large bodies of all requests together: the largest body that plans allow. */
-const MAXIMUM_BODY_BYTES = 67_108_864
-/** Bound on the answers that are passed on while they arrive; each takes up to 1 MB in buffers of two connections. */
-const MAXIMUM_STREAMED_ANSWERS = 96
 const PRUNE_INTERVAL_MILLISECONDS = 5_000
 /** How long a stopping host still accepts connections: guests use an answer of the directory for some seconds. */
 const CONNECTION_GRACE_MILLISECONDS = 1_500
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -12,7 +12,7 @@
 import { RetryShare, type RetryBound } from '../placement/RetryShare.js'
 import { pickTarget } from '../plan/pickTarget.js'
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
-import type { ExchangeAnswer } from '../relay/exchange.js'
+import { discardAnswer } from '../relay/discardAnswer.js'
 import { answerFailedExchange } from '../relay/answerFailedExchange.js'
 import { fingerprintRequest } from '../relay/fingerprintRequest.js'
 import { answerUnknown, refuse } from '../relay/refuse.js'
@@ -177,10 +177,10 @@
       load.recordSuccess(now)
       loads.warmObjects.recordHandled(this.#getPlacementKey(request, progress), record.id, now)
       progress.sendCount += 1
-      const { status, headers, body, endsWithConnection } = answer
-      return { outcome: Outcome.Ran, reason: undefined, status, headers, body, endsWithConnection, pool: undefined }
+      const { status, headers, body } = answer
+      return { outcome: Outcome.Ran, reason: undefined, status, headers, body, pool: undefined }
     }
-    discard(answer)
+    discardAnswer(answer)
     progress.sendCount += 1
     if (kind === AnswerKind.Foreign) {
       progress.cause = errorTexts.foreignAnswer()
@@ -245,8 +245,3 @@
     return retryShare
   }
 }
-
-/** Discards an answer that must not reach the guest. */
-function discard ({ body }: ExchangeAnswer): void {
-  if (!Buffer.isBuffer(body)) body.destroy()
-}
--- a/src/entry/UpstreamSender.ts
+++ b/src/entry/UpstreamSender.ts
@@ -6,6 +6,7 @@
 import { reportRepeatedAnswer } from '../observe/reportRepeatedAnswer.js'
 import type { Log } from '../observe/Log.js'
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
+import { createEndConfirmation } from '../relay/createEndConfirmation.js'
 import { exchange, type AnswerHead, type AnswerLimits, type ExchangeAnswer } from '../relay/exchange.js'
 import { Step } from '../types/Step.js'
 import type { CrashDetector } from './CrashDetector.js'
@@ -95,7 +96,7 @@
   }
 
   #exchange (request: EntryRequest, record: UpstreamRecord, onWrite: () => void): Promise<ExchangeAnswer> {
-    const { connections, protocol, answerBufferBytes, answerBudget, stopWindow } = this.#options
+    const { connections, protocol, answerBufferBytes, answerBudget, stopWindow, detector, counters, log } = this.#options
     return exchange(connections.to(record), {
       peer: record.address,
       method: request.method,
@@ -116,7 +117,8 @@
       },
       onHead: (head) => { this.#recordNotice(request, record, head) },
       mayWrite: () => stopWindow.admits(request.deadline) && this.#canStillUse(record),
-      onWrite
+      onWrite,
+      confirmEnd: createEndConfirmation({ id: request.id, peer: record.address, isAlive: () => detector.isAlive(record), counters, log })
     })
   }
 
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -6,6 +6,7 @@
 import { AnswerSeparator } from './AnswerSeparator.js'
 import { CLOSED_ERROR_CODES, UNSENT_ERROR_CODE } from './connectionErrorCodes.js'
 import type { ExchangeAnswer, ExchangeRequest } from './exchange.js'
+import { hasDelimitedBody } from './hasDelimitedBody.js'
 import type { HeaderField } from './RelayedRequest.js'
 
 /** Buffer of an answer that is passed on while it arrives: what its receiver does not read stays at the sender. */
@@ -13,14 +14,14 @@
 const ANSWER_DISCARDED = 'the rest of the answer is not needed'
 /** Interim responses (status 1xx) precede the answer; they are no part of it. */
 const MINIMUM_FINAL_STATUS = 200
-const BODILESS_STATUSES = new Set([204, 304])
 
 /** Handles one exchange: records whether bytes were written, collects the answer and enforces the deadline. */
 export class AnswerCollector implements Dispatcher.DispatchHandler {
   readonly answer: Promise<ExchangeAnswer>
+  /** Resolves with undefined when the whole answer has arrived, or with the failure that ended the exchange before. */
+  readonly finished: Promise<ExchangeFailure | undefined>
   readonly #request: ExchangeRequest
   readonly #isStale: () => boolean
-  readonly #finished: Promise<ExchangeFailure | undefined>
   readonly #timer: NodeJS.Timeout
   readonly #onCancelled = () => { this.#cancel() }
   readonly #chunks: Buffer[] = []
@@ -52,7 +53,7 @@
       this.#resolve = resolve
       this.#reject = reject
     })
-    this.#finished = new Promise((resolve) => { this.#resolveFinished = resolve })
+    this.finished = new Promise((resolve) => { this.#resolveFinished = resolve })
     this.#timer = setTimeout(() => { this.#abort(ExchangeFailure.TimedOut) }, Math.max(0, request.deadline - performance.now()))
     request.cancelled.addEventListener('abort', this.#onCancelled, { once: true })
     if (request.cancelled.aborted) this.#abort(ExchangeFailure.Cancelled)
@@ -83,7 +84,7 @@
     if (status < MINIMUM_FINAL_STATUS) return
     this.#status = status
     this.#headers = listHeaders(headers)
-    this.#endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && !hasNoBody(this.#request.method, status)
+    this.#endsWithConnection = !hasDelimitedBody({ method: this.#request.method, status, headers })
     const { separator } = this.#request
     if (this.#endsWithConnection && separator !== undefined) this.#separator = new AnswerSeparator(status, separator)
     const head = { status, headers: this.#headers }
@@ -103,17 +104,11 @@
 
   onResponseEnd (): void {
     const lastBytes = this.#takeLastBytes()
-    if (lastBytes === undefined) {
-      this.#failure = ExchangeFailure.Broken
-      this.onResponseError(null, new Error(errorTexts.answerEndUnknown()))
-      return
-    }
-    this.#markEnded(undefined)
-    if (this.#stream !== undefined) {
-      this.#stream.end(lastBytes)
-      return
-    }
-    this.#resolve(this.#createAnswer(lastBytes))
+    // The library does no more for this exchange: what ends it from here on, ends it at once.
+    this.#controller = undefined
+    if (lastBytes === undefined) return this.#abort(ExchangeFailure.Broken, errorTexts.answerEndUnknown())
+    if (!this.#endsWithConnection) return this.#finish(lastBytes)
+    this.#confirmEnd(lastBytes).catch((error: unknown) => { this.#abort(ExchangeFailure.Broken, String(error)) })
   }
 
   onResponseError (_controller: Dispatcher.DispatchController | null, cause: Error): void {
@@ -125,6 +120,19 @@
     this.#reject(error)
   }
 
+  async #confirmEnd (lastBytes: Buffer): Promise<void> {
+    const isConfirmed = await this.#request.confirmEnd?.()
+    if (isConfirmed !== true) return this.#abort(ExchangeFailure.Broken, errorTexts.answerEndNotConfirmed())
+    // Its deadline may have passed, or its receiver may have left meanwhile.
+    if (!this.#hasEnded) this.#finish(lastBytes)
+  }
+
+  #finish (lastBytes: Buffer): void {
+    this.#markEnded(undefined)
+    if (this.#stream !== undefined) this.#stream.end(lastBytes)
+    else this.#resolve(this.#createAnswer(lastBytes))
+  }
+
   /** Resolves without a body, and closes the connection: bytes that follow on it would reach the next request. */
   #endAtHead (controller: Dispatcher.DispatchController): void {
     this.#markEnded(undefined)
@@ -180,7 +188,7 @@
   }
 
   #createAnswer (body: Buffer | PassThrough): ExchangeAnswer {
-    return { status: this.#status, headers: this.#headers, body, endsWithConnection: this.#endsWithConnection, finished: this.#finished }
+    return { status: this.#status, headers: this.#headers, body, finished: this.finished }
   }
 
   /**
@@ -217,10 +225,6 @@
   return CLOSED_ERROR_CODES.has(code) ? ExchangeFailure.Forbidden : ExchangeFailure.Unreachable
 }
 
-function hasNoBody (method: string, status: number): boolean {
-  return method === 'HEAD' || BODILESS_STATUSES.has(status)
-}
-
 function listHeaders (headers: IncomingHttpHeaders): HeaderField[] {
   return Object.entries(headers).flatMap(([name, value]) => {
     if (Array.isArray(value)) return value.map((each) => ({ name, value: each }))
--- a/src/relay/Owner.ts
+++ b/src/relay/Owner.ts
@@ -7,6 +7,7 @@
 import { RefusalReason } from '../types/RefusalReason.js'
 import { RetryReason } from '../types/RetryReason.js'
 import { Step } from '../types/Step.js'
+import { createEndConfirmation } from './createEndConfirmation.js'
 import { createUpstreamRequest } from './createUpstreamRequest.js'
 import { parseRetryAfter } from './parseRetryAfter.js'
 import { exchange, type AnswerLimits, type ExchangeAnswer, type ExchangeRequest } from './exchange.js'
@@ -35,6 +36,8 @@
   retryBudget: (service: string) => RetryBudget
   /** Called when a connection broke with a request in flight; resolves once it is known whether the upstream died. */
   onBroken: (upstream: Upstream, fingerprint: string) => Promise<void>
+  /** Finds out, from after the call on, whether an upstream has not ended. */
+  isAlive: (upstream: Upstream) => Promise<boolean>
   /** Waits for the permit to run a suspect; resolves with a function that returns the permit, or with the reason for the refusal. */
   beginSuspect: (request: RelayedRequest) => Promise<(() => void) | RefusalReason>
   /** Called when a suspect has run to completion. */
@@ -140,7 +143,13 @@
   }
 
   #createRequest (request: RelayedRequest, upstream: Upstream): ExchangeRequest {
-    return createUpstreamRequest(request, upstream, this.#options, (found) => { reportRepeatedAnswer(this.#options, { peer: upstream.address, request: request.id, found }) })
+    const { isAlive, counters, log } = this.#options
+    const { id } = request
+    const peer = upstream.address
+    return {
+      ...createUpstreamRequest(request, upstream, this.#options, (found) => { reportRepeatedAnswer(this.#options, { peer, request: id, found }) }),
+      confirmEnd: createEndConfirmation({ id, peer, isAlive: () => isAlive(upstream), counters, log })
+    }
   }
 
   #releaseAfter (finished: Promise<unknown>, pool: UpstreamPool, upstream: Upstream, request: RelayedRequest, isSuspect: boolean, startedAt: number): void {
@@ -161,7 +170,7 @@
       return answerUnknown(RefusalReason.AnswerLost)
     }
     this.#recordSuccess(request)
-    return { outcome: Outcome.Ran, reason: undefined, status: answer.status, headers: answer.headers, body: answer.body, endsWithConnection: answer.endsWithConnection, run: { runMilliseconds }, pool: undefined }
+    return { outcome: Outcome.Ran, reason: undefined, status: answer.status, headers: answer.headers, body: answer.body, run: { runMilliseconds }, pool: undefined }
   }
 
   #recordSuccess ({ fingerprint }: RelayedRequest): void {
