--- a/__tests__/relay/furtherAnswer.test.ts
+++ b/__tests__/relay/furtherAnswer.test.ts
@@ -7,6 +7,7 @@
 import { openRawServer } from '../support/openRawServer.js'
 import { createOwnerFixture } from './createOwnerFixture.js'
 import { createRelayedRequest } from './createRelayedRequest.js'
+import { forwardThroughOwner } from './forwardThroughOwner.js'
 
 const ID = 'r-1'
 const BUFFER_BYTES = 1_024
@@ -54,3 +55,11 @@
     for (const body of ['body', '', LARGE_BODY]) assert.equal((await serveWithFurther(body, further, 20)).text, body + further)
   }
 })
+
+for (const { name, compose } of FURTHER_ANSWERS) {
+  test(`${name} behind a large answer does not look whole behind the hop between hosts`, async (context) => {
+    const answer = `HTTP/1.1 200 OK\r\nHibiscusrelay-Request: r\r\nConnection: close\r\n\r\n${LARGE_BODY}`
+    const result = await forwardThroughOwner(context, (socket) => { writeLate(socket, answer, compose(answer, LARGE_BODY), 20) })
+    assert.ok(result.answer.outcome === Outcome.Unknown || await readText(result.answer.body) === undefined)
+  })
+}
