Test the retry and the record of a repeated answer

An idempotent request whose answer cannot be told from a further one is sent to another upstream; both kinds are counted and logged with the identifier of the request.

--- a/__tests__/entry/createRelayFixture.ts
+++ b/__tests__/entry/createRelayFixture.ts
@@ -41,7 +41,7 @@
   // KnownState reports an infinite number of entry hosts at first; a fixed number of 1 gives this host the full share of the retries.
   Object.defineProperty(known, 'entryHosts', { value: 1 })
   const loads = new UpstreamLoads(known)
-  const parts = createSender({ known, loads, connections, protocol: upstreamProtocol, answerBufferBytes: 1024, probe })
+  const parts = createSender({ known, loads, connections, protocol: upstreamProtocol, answerBufferBytes: 1024, probe, counters: options.counters, log: options.log })
   const relay = new EntryRelay({
     hostName: 'entry-1',
     region: 'asturias',
--- a/__tests__/entry/furtherAnswer.test.ts
+++ b/__tests__/entry/furtherAnswer.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict'
+import type { Socket } from 'node:net'
 import { test } from 'node:test'
+import { Counters } from '../../src/observe/Counters.js'
 import { openPool } from '../../src/relay/openPool.js'
 import type { RelayAnswer } from '../../src/relay/RelayAnswer.js'
 import { Outcome } from '../../src/types/Outcome.js'
@@ -55,3 +57,27 @@
     for (const body of ['body', '', LARGE_BODY]) assert.equal((await serveWithFurther(body, further, 20)).text, body + further)
   }
 })
+
+test('a request that may be repeated is sent again when it is not known where its answer ends, and this is counted and logged', async () => {
+  const counters = new Counters()
+  const events: Array<Record<string, unknown>> = []
+  const log = { info: () => {}, warn: (event: string, fields: object) => { events.push({ event, ...fields }) }, error: () => {} }
+  let runs = 0
+  const respond = (socket: Socket): void => {
+    const answer = composeAnswer('body')
+    writeLate(socket, answer, runs === 0 ? answer.slice(0, -1) : answer, 20)
+    runs += 1
+  }
+  const servers = [await openRawServer(respond), await openRawServer(respond)]
+  const idempotent = { requestClass: RequestClass.Idempotent, mostAttempts: 2 }
+  const { relay, connections } = createRelayFixture(servers.map(({ address }) => address), idempotent, { counters, log })
+  const answer = await relay.serve(createEntryRequest(idempotent, { id: ID, headers: [{ name: 'attempt-id', value: ID }] }))
+  await connections.destroy()
+  await Promise.all(servers.map(async (server) => { await server.close() }))
+  assert.equal(answer.outcome, Outcome.Ran)
+  assert.equal(String(answer.body), 'body')
+  assert.equal(runs, 2)
+  assert.deepEqual([counters.read('repeated-answer.ambiguous'), counters.read('repeated-answer.cut-off')], [1, 1])
+  const found = events.filter(({ event }) => event === 'repeated-answer').map(({ request, found }) => ({ request, found }))
+  assert.deepEqual(found, [{ request: ID, found: 'ambiguous' }, { request: ID, found: 'cut-off' }])
+})
--- a/__tests__/support/createSender.ts
+++ b/__tests__/support/createSender.ts
@@ -22,13 +22,13 @@
  * @param options - known state, loads, connections, protocol, buffer size, and what replaces connections for tests of liveness
  * @returns a sender with its gate; permits for suspects come from a desk in memory
  */
-export function createSender (options: Pick<UpstreamSenderOptions, 'known' | 'loads' | 'connections' | 'protocol' | 'answerBufferBytes'> & Partial<Pick<UpstreamSenderOptions, 'counters'>> & Pick<CrashDetectorOptions, 'probe'>): SenderParts {
+export function createSender ({ counters = new Counters(), log = silentLog, ...options }: Pick<UpstreamSenderOptions, 'known' | 'loads' | 'connections' | 'protocol' | 'answerBufferBytes'> & Partial<Pick<UpstreamSenderOptions, 'counters' | 'log'>> & Pick<CrashDetectorOptions, 'probe'>): SenderParts {
   const runs = new UpstreamRuns()
   const crashes = new CrashTable()
   const detector = new CrashDetector({ runs, crashes, known: options.known, probe: options.probe, onChange: () => {}, saveLosses: async () => {}, log: silentLog })
   const gate = new SuspectGate({ crashes, detector, listControlHosts: () => ['control'], callPeer: createPermitCalls(), log: silentLog })
   const notices = new UpstreamNotices({ hostName: 'entry-1', known: options.known, loads: options.loads, onLeaving: () => {}, counters: new Counters(), log: silentLog })
-  const sender = new UpstreamSender({ counters: new Counters(), ...options, notices, runs, crashes, detector, onExcuse: () => {}, stopWindow: new StopWindow(), log: silentLog })
+  const sender = new UpstreamSender({ ...options, notices, runs, crashes, detector, onExcuse: () => {}, stopWindow: new StopWindow(), counters, log })
   return { gate, runs, sender, crashes, detector }
 }
 
