Look at a kept connection once more before it times out

After a standstill of the process, a guest's next request on a kept connection was reset although it had arrived within the idle timeout: the timers of the event loop run before it reads, and a connection whose timer has run out was destroyed with the request unread. After SIGCONT a process may get to its timers first, too (read in libuv, not run).

A connection whose timer has run out is now closed only if the event loop, after reading once more, has nothing from it.

Evidence: on the code before, 'a request that arrived within the idle timeout is answered after a standstill of the process' got ECONNRESET, with a standstill of 1.6 s.

--- a/src/transport/HttpListener.ts
+++ b/src/transport/HttpListener.ts
@@ -57,6 +57,7 @@
       // The HTTP library calls this method behind the last answer.
       socket.destroySoon = () => { this.#endConnection(socket) }
     })
+    this.#server.on('timeout', (socket) => { this.#closeIfIdle(socket).catch(() => { socket.destroy() }) })
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       this.#refuseMalformed(error, socket).catch(() => { socket.destroy() })
     })
@@ -118,6 +119,13 @@
     this.#server.closeAllConnections()
   }
 
+  /** Closes a connection whose timer has run out, unless something has arrived while the process was late. */
+  async #closeIfIdle (socket: Socket): Promise<void> {
+    const { bytesRead } = socket
+    await passPollPhase()
+    if (socket.bytesRead === bytesRead) socket.destroy()
+  }
+
   /** Accepts connections that the kernel has accepted; it resets those that wait when the listener closes. */
   async #acceptWaiting (deadline: number): Promise<void> {
     const maximum = this.#accepted + ACCEPT_QUEUE_LENGTH
