Give no answer an end that its upstream did not state

An answer without a length was framed towards the guest once its upstream was found alive.

Such an answer now reaches the guest delimited as its upstream did, by the end of the connection, but only whole and in one write, up to 32 KB: a host that is killed, stops or runs out of time has passed on all of it or nothing, so a part never looks whole because of the host. A larger one is lost (502, without another attempt), since any cut of it on its way would look whole. Its upstream must still be found alive. It is not stored as the answer to a one-time action.

--- a/__tests__/relay/deliverAnswer.test.ts
+++ b/__tests__/relay/deliverAnswer.test.ts
@@ -102,6 +102,36 @@
   assert.equal(counters.read(UNFRAMABLE_COUNTER), 1)
 })
 
+// Guards against a length that claims more than is known: an upstream may break off such an answer and live on.
+test('an answer delimited by the end of its connection reaches the guest without a length, delimited the same way', async () => {
+  for (const version of ['1.0', '1.1']) {
+    const text = await receiveAnswer({ overrides: { endsWithConnection: true }, version })
+    assert.doesNotMatch(text, /content-length|transfer-encoding/)
+    assert.match(text, /connection: close/)
+    assert.match(text, /abcde\(closed\)$/)
+  }
+})
+
+// Guards against a part that looks whole when the host is killed between two writes.
+test('the largest answer that is delimited by the end of its connection leaves the process in one write', async () => {
+  const body = Buffer.alloc(32_768, 'p')
+  let unwrittenBytes: number | undefined
+  const server = createServer((_request, response) => {
+    const { socket } = response
+    deliverAnswer({ outcome: Outcome.Ran, reason: undefined, status: 200, headers: [], body, endsWithConnection: true, pool: undefined }, response).catch(() => { response.destroy() })
+    unwrittenBytes = socket!.writableLength
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
+  socket.pause()
+  socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+  await new Promise((resolve) => { setTimeout(resolve, 100) })
+  socket.destroy()
+  server.closeAllConnections()
+  server.close()
+  assert.equal(unwrittenBytes, 0)
+})
+
 test('an answer of known length keeps its length, and the connection stays open', async () => {
   const text = await receiveAnswer({ overrides: {} })
   assert.match(text, /content-length: 5/)
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -177,8 +177,8 @@
       load.recordSuccess(now)
       loads.warmObjects.recordHandled(this.#getPlacementKey(request, progress), record.id, now)
       progress.sendCount += 1
-      const { status, headers, body } = answer
-      return { outcome: Outcome.Ran, reason: undefined, status, headers, body, pool: undefined }
+      const { status, headers, body, endsWithConnection } = answer
+      return { outcome: Outcome.Ran, reason: undefined, status, headers, body, endsWithConnection, pool: undefined }
     }
     discardAnswer(answer)
     progress.sendCount += 1
@@ -199,7 +199,7 @@
   #handleFailure (progress: RequestProgress, record: UpstreamRecord, error: ExchangeError): RelayAnswer | undefined {
     const { loads } = this.#options
     progress.cause = String(error.cause)
-    if (error.failure === ExchangeFailure.Cancelled) return answerFailedExchange(error)
+    if (error.failure === ExchangeFailure.Cancelled || error.failure === ExchangeFailure.Undelimited) return answerFailedExchange(error)
     if (error.failure !== ExchangeFailure.Forbidden) loads.get(record.id).recordFailure(performance.now())
     if (!error.written) {
       progress.failedConnectCount += 1
--- a/src/errors/ExchangeError.ts
+++ b/src/errors/ExchangeError.ts
@@ -7,6 +7,8 @@
   Unreachable = 'unreachable',
   /** The connection broke, or the bytes received were not a valid answer. */
   Broken = 'broken',
+  /** Only the end of the connection delimits the answer, and it is too large to reach a guest in that form. */
+  Undelimited = 'undelimited',
   /** The deadline passed. */
   TimedOut = 'timed-out',
   /** The guest disconnected. */
--- a/src/errors/errorTexts.ts
+++ b/src/errors/errorTexts.ts
@@ -7,6 +7,7 @@
   foreignAnswer: () => 'the answer belongs to another request, or to none',
   peerRefused: (method: string, message: string) => `the peer refused ${method}: ${message}`,
   answerEndUnknown: () => 'another answer follows on the connection, and it is not known where the first one ends',
+  undelimitedAnswerTooLarge: (bytes: number) => `an answer that only the end of its connection delimits has more than ${bytes} bytes`,
   tooManyLargeAnswers: () => 'too many large answers are passed on at the same time',
   peerAnswerTooLarge: (bytes: number) => `the answer of the peer exceeds ${bytes} bytes`,
   answerNamesOtherCall: () => 'the answer does not name the call that it belongs to',
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -3,14 +3,20 @@
 import type { Dispatcher } from 'undici'
 import { errorTexts } from '../errors/errorTexts.js'
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
-import { AnswerSeparator } from './AnswerSeparator.js'
 import { CLOSED_ERROR_CODES, UNSENT_ERROR_CODE } from './connectionErrorCodes.js'
 import type { ExchangeAnswer, ExchangeRequest } from './exchange.js'
 import { hasDelimitedBody } from './hasDelimitedBody.js'
 import type { HeaderField } from './RelayedRequest.js'
+import { RepeatedAnswer } from './RepeatedAnswer.js'
+import { separateAnswers } from './separateAnswers.js'
 
 /** Buffer of an answer that is passed on while it arrives: what its receiver does not read stays at the sender. */
 const STREAM_BUFFER_BYTES = 16_384
+/**
+ * Largest body that a guest gets delimited by the end of its connection. The kernel takes this much in one write, so that a host
+ * that is killed has passed on all of it or nothing; its connections end in order, and a part of the body would look whole.
+ */
+const MAXIMUM_UNDELIMITED_BYTES = 32_768
 const ANSWER_DISCARDED = 'the rest of the answer is not needed'
 /** Interim responses (status 1xx) precede the answer; they are no part of it. */
 const MINIMUM_FINAL_STATUS = 200
@@ -38,8 +44,6 @@
   /** Number of these bytes that are taken from the budget. */
   #reservedBytes = 0
   #endsWithConnection = false
-  /** Present while an answer arrives behind which a further one could not be told from its body. */
-  #separator: AnswerSeparator | undefined
   #stream: PassThrough | undefined
 
   /**
@@ -85,8 +89,6 @@
     this.#status = status
     this.#headers = listHeaders(headers)
     this.#endsWithConnection = !hasDelimitedBody({ method: this.#request.method, status, headers })
-    const { separator } = this.#request
-    if (this.#endsWithConnection && separator !== undefined) this.#separator = new AnswerSeparator(status, separator)
     const head = { status, headers: this.#headers }
     this.#request.onHead?.(head)
     if (this.#request.isHeadSufficient?.(head) === true) this.#endAtHead(controller)
@@ -99,16 +101,25 @@
     }
     this.#chunks.push(chunk)
     this.#bufferedBytes += chunk.length
-    if (!this.#tryReserve(chunk.length) || this.#bufferedBytes > this.#request.answerBufferBytes) this.#beginStream(controller)
+    if (this.#tryReserve(chunk.length) && this.#bufferedBytes <= this.#request.answerBufferBytes) return
+    if (this.#endsWithConnection) this.#refuseUndelimited()
+    else this.#beginStream(controller)
   }
 
   onResponseEnd (): void {
-    const lastBytes = this.#takeLastBytes()
+    if (this.#stream !== undefined) {
+      this.#markEnded(undefined)
+      this.#stream.end()
+      return
+    }
+    const body = Buffer.concat(this.#chunks, this.#bufferedBytes)
+    if (!this.#endsWithConnection) return this.#finish(body)
     // The library does no more for this exchange: what ends it from here on, ends it at once.
     this.#controller = undefined
-    if (lastBytes === undefined) return this.#abort(ExchangeFailure.Broken, errorTexts.answerEndUnknown())
-    if (!this.#endsWithConnection) return this.#finish(lastBytes)
-    this.#confirmEnd(lastBytes).catch((error: unknown) => { this.#abort(ExchangeFailure.Broken, String(error)) })
+    const firstBody = this.#separate(body)
+    if (firstBody === undefined) return this.#abort(ExchangeFailure.Broken, errorTexts.answerEndUnknown())
+    if (firstBody.length > MAXIMUM_UNDELIMITED_BYTES) return this.#refuseUndelimited()
+    this.#confirmEnd(firstBody).catch((error: unknown) => { this.#abort(ExchangeFailure.Broken, String(error)) })
   }
 
   onResponseError (_controller: Dispatcher.DispatchController | null, cause: Error): void {
@@ -120,17 +131,16 @@
     this.#reject(error)
   }
 
-  async #confirmEnd (lastBytes: Buffer): Promise<void> {
+  async #confirmEnd (body: Buffer): Promise<void> {
     const isConfirmed = await this.#request.confirmEnd?.()
     if (isConfirmed !== true) return this.#abort(ExchangeFailure.Broken, errorTexts.answerEndNotConfirmed())
     // Its deadline may have passed, or its receiver may have left meanwhile.
-    if (!this.#hasEnded) this.#finish(lastBytes)
+    if (!this.#hasEnded) this.#finish(body)
   }
 
-  #finish (lastBytes: Buffer): void {
+  #finish (body: Buffer): void {
     this.#markEnded(undefined)
-    if (this.#stream !== undefined) this.#stream.end(lastBytes)
-    else this.#resolve(this.#createAnswer(lastBytes))
+    this.#resolve(this.#createAnswer(body))
   }
 
   /** Resolves without a body, and closes the connection: bytes that follow on it would reach the next request. */
@@ -161,17 +171,20 @@
   }
 
   #writeChunk (controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this.#hasEnded) return
-    const passed = this.#separator === undefined ? chunk : this.#separator.pass(chunk)
-    if (passed === undefined) return this.#abort(ExchangeFailure.Broken, errorTexts.answerEndUnknown())
-    if (!this.#stream!.write(passed)) controller.pause()
+    if (!this.#stream!.write(chunk)) controller.pause()
   }
 
-  /** @returns the bytes that were not passed on yet, undefined when it is not known whether the answer ended before them */
-  #takeLastBytes (): Buffer | undefined {
-    if (this.#stream !== undefined) return this.#separator === undefined ? Buffer.alloc(0) : this.#separator.finish()
-    const body = Buffer.concat(this.#chunks, this.#bufferedBytes)
-    return this.#separator === undefined ? body : this.#separator.separate(body)
+  /** @returns the first answer in a body that the end of the connection delimits, undefined when it is not known where that ends */
+  #separate (body: Buffer): Buffer | undefined {
+    const { separator } = this.#request
+    if (separator === undefined) return body
+    const separated = separateAnswers(body, this.#status, separator.identify)
+    if (separated.found !== undefined) separator.onFound(separated.found)
+    return separated.found === RepeatedAnswer.Ambiguous ? undefined : separated.body
+  }
+
+  #refuseUndelimited (): void {
+    this.#abort(ExchangeFailure.Undelimited, errorTexts.undelimitedAnswerTooLarge(MAXIMUM_UNDELIMITED_BYTES))
   }
 
   #tryReserve (bytes: number): boolean {
@@ -188,7 +201,7 @@
   }
 
   #createAnswer (body: Buffer | PassThrough): ExchangeAnswer {
-    return { status: this.#status, headers: this.#headers, body, finished: this.finished }
+    return { status: this.#status, headers: this.#headers, body, endsWithConnection: this.#endsWithConnection, finished: this.finished }
   }
 
   /**
--- a/src/relay/Owner.ts
+++ b/src/relay/Owner.ts
@@ -170,7 +170,7 @@
       return answerUnknown(RefusalReason.AnswerLost)
     }
     this.#recordSuccess(request)
-    return { outcome: Outcome.Ran, reason: undefined, status: answer.status, headers: answer.headers, body: answer.body, run: { runMilliseconds }, pool: undefined }
+    return { outcome: Outcome.Ran, reason: undefined, status: answer.status, headers: answer.headers, body: answer.body, endsWithConnection: answer.endsWithConnection, run: { runMilliseconds }, pool: undefined }
   }
 
   #recordSuccess ({ fingerprint }: RelayedRequest): void {
--- a/src/relay/RelayAnswer.ts
+++ b/src/relay/RelayAnswer.ts
@@ -13,6 +13,8 @@
   headers: HeaderField[]
   /** The complete body, or a stream of one larger than the buffer; the stream fails when the upstream breaks off. */
   body: Buffer | Readable
+  /** Whether only the end of the upstream's connection delimits the body; the guest must receive it delimited the same way. */
+  endsWithConnection?: boolean
   /** Time after which the guest should come back, in milliseconds; undefined when nothing is known of it. */
   retryAfterMilliseconds?: number
   /** Whether a retry was already taken from the budget, because the request was abandoned at an owner that seemed lost. */
--- a/src/relay/RelayHead.ts
+++ b/src/relay/RelayHead.ts
@@ -32,8 +32,10 @@
   lostUpstreams: string[]
   status: number
   headers: HeaderField[]
-  /** Sent by earlier versions only: the end of the upstream's connection delimits the body, and nothing confirmed that it is whole. */
+  /** Whether only the end of the upstream's connection delimits the body. */
   endsWithConnection?: boolean
+  /** Whether the upstream was alive after that end; earlier versions do not look. */
+  isEndConfirmed?: boolean
   pool: AnswerReport | undefined
 }
 
--- a/src/relay/answerFailedExchange.ts
+++ b/src/relay/answerFailedExchange.ts
@@ -6,6 +6,7 @@
 const REASON_BY_FAILURE: Record<ExchangeFailure, RefusalReason> = {
   [ExchangeFailure.Unreachable]: RefusalReason.UpstreamUnreachable,
   [ExchangeFailure.Broken]: RefusalReason.AnswerLost,
+  [ExchangeFailure.Undelimited]: RefusalReason.AnswerLost,
   [ExchangeFailure.TimedOut]: RefusalReason.DeadlinePassed,
   [ExchangeFailure.Cancelled]: RefusalReason.Cancelled,
   [ExchangeFailure.Forbidden]: RefusalReason.LeaseLost,
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -2,9 +2,9 @@
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
 import type { AnswerBudget } from './AnswerBudget.js'
 import { AnswerCollector } from './AnswerCollector.js'
-import type { SeparatorOptions } from './AnswerSeparator.js'
 import type { Readable } from 'node:stream'
 import type { HeaderField } from './RelayedRequest.js'
+import type { SeparatorOptions } from './SeparatorOptions.js'
 
 /** Age up to which a head with the time left is written; a connection between regions takes 110 ms to open. */
 const MAXIMUM_HEAD_AGE_MILLISECONDS = 50
@@ -57,6 +57,8 @@
   headers: HeaderField[]
   /** The complete body, or a stream of a body larger than the buffer. */
   body: Buffer | Readable
+  /** Whether only the end of the connection delimits the body. Such a body is small; a length would claim more than is known of it. */
+  endsWithConnection: boolean
   /** Resolves with undefined when the last byte of the answer has arrived, or with the failure that ended it before. */
   finished: Promise<ExchangeFailure | undefined>
 }
--- a/src/relay/forwardToOwner.ts
+++ b/src/relay/forwardToOwner.ts
@@ -95,9 +95,9 @@
 function readOwnerAnswer (answer: ExchangeAnswer, request: RelayedRequest, owner: OwnerConnection): RelayAnswer {
   const answerHead = findAnswerHead(answer)
   if (answerHead?.id !== request.id) throw new ExchangeError(ExchangeFailure.Broken, owner.address, true)
-  const { id, lostUpstreams, endsWithConnection, ...rest } = answerHead
+  const { id, lostUpstreams, isEndConfirmed, ...rest } = answerHead
   if (lostUpstreams.length > 0) owner.poison.recordLoss({ fingerprint: request.fingerprint, lostUpstreams })
-  if (endsWithConnection === true) {
+  if (rest.endsWithConnection === true && isEndConfirmed !== true) {
     discardAnswer(answer)
     throw new ExchangeError(ExchangeFailure.Broken, owner.address, true, new Error(errorTexts.answerEndNotConfirmed()))
   }
--- a/src/relay/serveForwarded.ts
+++ b/src/relay/serveForwarded.ts
@@ -45,8 +45,8 @@
   const { poison } = forwarded
   if (lostUpstreams.length > 0) poison.recordLoss({ fingerprint: head.fingerprint, lostUpstreams })
   const trySpend = (bytes: number): boolean => forwarded.spendLink(fromRegion, bytes)
-  const encodeAnswerHead = ({ outcome, reason, status, headers, pool }: RelayAnswer): string => {
-    return encodeHead({ id: request.id, outcome, reason, status, headers, pool, lostUpstreams: poison.describe(head.fingerprint).lostUpstreams })
+  const encodeAnswerHead = ({ outcome, reason, status, headers, endsWithConnection, pool }: RelayAnswer): string => {
+    return encodeHead({ id: request.id, outcome, reason, status, headers, endsWithConnection, isEndConfirmed: endsWithConnection, pool, lostUpstreams: poison.describe(head.fingerprint).lostUpstreams })
   }
   const ownerAnswer = await forwarded.owner.serve(request)
   const ownerAnswerHead = encodeAnswerHead(ownerAnswer)
--- a/src/relay/storeAnswer.ts
+++ b/src/relay/storeAnswer.ts
@@ -5,7 +5,7 @@
 
 /**
  * Records the outcome of a one-time action in the ledger.
- * An action whose answer is too large to be stored is recorded as possibly run.
+ * An action whose answer is too large to be stored, or may have been cut off, is recorded as possibly run.
  * The guest does not wait beyond its deadline; the ledger completes the record afterwards.
  *
  * @param ledger - ledger that granted the claim
@@ -23,7 +23,7 @@
 
 async function storeOutcome (ledger: ClaimLedger, key: string, answer: RelayAnswer): Promise<void> {
   if (answer.outcome === Outcome.NotRun) await ledger.release(key)
-  else if (answer.outcome === Outcome.Unknown || !Buffer.isBuffer(answer.body)) await ledger.markUnknown(key)
+  else if (answer.outcome === Outcome.Unknown || !Buffer.isBuffer(answer.body) || answer.endsWithConnection === true) await ledger.markUnknown(key)
   else {
     await ledger.complete(key, {
       status: answer.status,
