Free the slot of an answer while its end is being confirmed

Answers without a length held a slot of their upstream for 50 to 100 ms after their last byte, while their end was being confirmed, so that other requests waited or were refused as queue-full although the upstream was idle. Eight at a time on four slots took 110.6 ms (median) instead of 11.2.

Cause: load, admission queue and the owner's slot were given back only when the exchange was over, and each look at an upstream waited for the end of the look before it.

Now the slot is given back when the answer has arrived, once (createEndConfirmation, onArrived). A suspect keeps the owner's slot, as its upstream may just have ended, and each request stays listed as in flight, so that it can still be blamed.

--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -21,6 +21,7 @@
 import { RefusalReason } from '../types/RefusalReason.js'
 import { RequestClass } from '../types/RequestClass.js'
 import { RetryReason } from '../types/RetryReason.js'
+import { once } from '../utils/once.js'
 import { createAdmissionRequest } from './createAdmissionRequest.js'
 import type { EntryRequest } from './EntryRequest.js'
 import { listCandidates, type PlacementCandidate } from './listCandidates.js'
@@ -94,10 +95,11 @@
     if (admissionResult === AdmissionResult.Cancelled) return refuse(RefusalReason.Cancelled)
     if (admissionResult === AdmissionResult.TooLate) return refuse(RefusalReason.QueueFull)
     if (admissionResult === AdmissionResult.Stopping) return refuse(RefusalReason.Stopping)
+    progress.onArrived = once(() => { queue.leave(performance.now() - admittedAt) })
     try {
       return await this.#sendUntilAnswered(request, progress)
     } finally {
-      queue.leave(performance.now() - admittedAt)
+      progress.onArrived()
     }
   }
 
@@ -158,7 +160,7 @@
   async #send (request: EntryRequest, progress: RequestProgress, record: UpstreamRecord, onSettled: () => void): Promise<RelayAnswer | undefined> {
     progress.recordAttempt(record.id)
     try {
-      const answer = await this.#options.sender.send({ request, fingerprint: progress.fingerprint, record, onSettled })
+      const answer = await this.#options.sender.send({ request, fingerprint: progress.fingerprint, record, onSettled, onArrived: progress.onArrived })
       return this.#handleAnswer(request, progress, record, answer)
     } catch (error) {
       if (!(error instanceof ExchangeError)) throw error
--- a/src/entry/RequestProgress.ts
+++ b/src/entry/RequestProgress.ts
@@ -31,6 +31,8 @@
   /** Why the answer of an attempt that may have run is missing. */
   lostReason = RefusalReason.AnswerLost
   retryReason = RetryReason.Shed
+  /** Called when the answer has arrived, and when the request is over; gives back its place in the admission queue. */
+  onArrived = (): void => {}
   /** Time until the first upstream that asked for a pause takes requests again, in milliseconds. */
   returnMilliseconds: number | undefined
 
--- a/src/entry/UpstreamSender.ts
+++ b/src/entry/UpstreamSender.ts
@@ -7,6 +7,7 @@
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
 import { createEndConfirmation } from '../relay/createEndConfirmation.js'
 import { exchange, type AnswerHead, type AnswerLimits, type ExchangeAnswer } from '../relay/exchange.js'
+import { once } from '../utils/once.js'
 import { Step } from '../types/Step.js'
 import type { CrashDetector } from './CrashDetector.js'
 import type { EntryRequest } from './EntryRequest.js'
@@ -38,6 +39,8 @@
   request: EntryRequest
   fingerprint: string
   record: UpstreamRecord
+  /** Called when the whole answer has arrived and only its end is not confirmed yet: the upstream has no more to do for it. */
+  onArrived: () => void
   /** Called when the attempt is over and the end of its upstream, if it ended, is recorded. */
   onSettled: () => void
 }
@@ -70,16 +73,20 @@
     const load = loads.get(record.id)
     const run = runs.begin(attempt.fingerprint, record, false)
     load.start()
+    const endLoad = once(() => { load.end() })
     try {
-      const answer = await this.#exchange(request, record, () => { run.isWritten = true })
+      const answer = await this.#exchange(request, record, () => { run.isWritten = true }, () => {
+        endLoad()
+        attempt.onArrived()
+      })
       const kind = protocol.classifyAnswer(request, answer)
       this.#settleAfter(answer.finished.then(async (failure) => {
-        load.end()
+        endLoad()
         await this.#settleAnswer(run, kind, failure)
       }), attempt)
       return { answer, kind }
     } catch (error) {
-      load.end()
+      endLoad()
       const settled = this.#settleFailure(run, error)
       this.#settleAfter(settled, attempt)
       // The guest's time is over after a timeout or when it left; only a broken connection leads to another attempt.
@@ -94,7 +101,7 @@
       .finally(onSettled)
   }
 
-  #exchange (request: EntryRequest, record: UpstreamRecord, onWrite: () => void): Promise<ExchangeAnswer> {
+  #exchange (request: EntryRequest, record: UpstreamRecord, onWrite: () => void, onArrived: () => void): Promise<ExchangeAnswer> {
     const { connections, protocol, answerBufferBytes, answerBudget, stopWindow, detector, counters, log } = this.#options
     return exchange(connections.to(record), {
       peer: record.address,
@@ -113,7 +120,7 @@
       onHead: (head) => { this.#recordNotice(request, record, head) },
       mayWrite: () => stopWindow.admits(request.deadline) && this.#canStillUse(record),
       onWrite,
-      confirmEnd: createEndConfirmation({ id: request.id, peer: record.address, isAlive: () => detector.isAlive(record), counters, log })
+      confirmEnd: createEndConfirmation({ id: request.id, peer: record.address, onArrived, isAlive: () => detector.isAlive(record), counters, log })
     })
   }
 
--- a/src/relay/Owner.ts
+++ b/src/relay/Owner.ts
@@ -6,6 +6,7 @@
 import { RefusalReason } from '../types/RefusalReason.js'
 import { RetryReason } from '../types/RetryReason.js'
 import { Step } from '../types/Step.js'
+import { once } from '../utils/once.js'
 import { createEndConfirmation } from './createEndConfirmation.js'
 import { createUpstreamRequest } from './createUpstreamRequest.js'
 import { parseRetryAfter } from './parseRetryAfter.js'
@@ -131,26 +132,29 @@
     const startedAt = performance.now()
     upstream.lastStartedAt = startedAt
     upstream.inFlight.add(request)
+    const release = once((runMilliseconds: number | undefined) => { pool.release(upstream, isSuspect, runMilliseconds) })
+    // While the end of an answer is confirmed the upstream may run another request, but no second suspect.
+    const onArrived = (): void => { if (!isSuspect) release(performance.now() - startedAt) }
     try {
-      const answer = await exchange(upstream.connections, { ...createUpstreamRequest(request, upstream, this.#options), confirmEnd: this.#createEndConfirmation(upstream, request) })
-      this.#releaseAfter(answer.finished, pool, upstream, request, isSuspect, startedAt)
+      const answer = await exchange(upstream.connections, { ...createUpstreamRequest(request, upstream, this.#options), confirmEnd: this.#createEndConfirmation(upstream, request, onArrived) })
+      this.#releaseAfter(answer.finished, upstream, request, () => { release(performance.now() - startedAt) })
       return this.#interpret(answer, upstream, request, performance.now() - startedAt)
     } catch (error) {
       if (!(error instanceof ExchangeError)) throw error
-      return await this.#handleFailure(error, pool, upstream, request, isSuspect)
+      return await this.#handleFailure(error, upstream, request, () => { release(undefined) })
     }
   }
 
-  #createEndConfirmation (upstream: Upstream, { id }: RelayedRequest): () => Promise<boolean> {
+  #createEndConfirmation (upstream: Upstream, { id }: RelayedRequest, onArrived: () => void): () => Promise<boolean> {
     const { isAlive, counters, log } = this.#options
-    return createEndConfirmation({ id, peer: upstream.address, isAlive: () => isAlive(upstream), counters, log })
+    return createEndConfirmation({ id, peer: upstream.address, onArrived, isAlive: () => isAlive(upstream), counters, log })
   }
 
-  #releaseAfter (finished: Promise<unknown>, pool: UpstreamPool, upstream: Upstream, request: RelayedRequest, isSuspect: boolean, startedAt: number): void {
+  #releaseAfter (finished: Promise<unknown>, upstream: Upstream, request: RelayedRequest, release: () => void): void {
     finished.then(() => {
       upstream.inFlight.delete(request)
       upstream.lastEndedAt = performance.now()
-      pool.release(upstream, isSuspect, performance.now() - startedAt)
+      release()
     }, () => {})
   }
 
@@ -174,14 +178,14 @@
     if (record.lostUpstreams.length > 0) onCleared(record)
   }
 
-  async #handleFailure (error: ExchangeError, pool: UpstreamPool, upstream: Upstream, request: RelayedRequest, isSuspect: boolean): Promise<RelayAnswer> {
+  async #handleFailure (error: ExchangeError, upstream: Upstream, request: RelayedRequest, release: () => void): Promise<RelayAnswer> {
     this.#options.log.warn('exchange-failed', { step: error.step, peer: error.peer, request: request.id, failure: error.failure, written: error.written, cause: String(error.cause) })
     if (error.failure === ExchangeFailure.Unreachable) upstream.avoid(AVOID_UNREACHABLE_MILLISECONDS)
     if (error.written && error.failure === ExchangeFailure.Broken) await this.#options.onBroken(upstream, request.fingerprint)
     upstream.inFlight.delete(request)
     const graceMilliseconds = error.written ? CANCELLATION_GRACE_MILLISECONDS : 0
     upstream.lastEndedAt = performance.now()
-    setTimeout(() => { pool.release(upstream, isSuspect, undefined) }, graceMilliseconds)
+    setTimeout(release, graceMilliseconds)
     return answerFailedExchange(error)
   }
 }
--- a/src/relay/createEndConfirmation.ts
+++ b/src/relay/createEndConfirmation.ts
@@ -9,6 +9,8 @@
   id: string
   /** Address of the upstream. */
   peer: string
+  /** Called when the answer has arrived up to its end. */
+  onArrived: () => void
   /** Finds out whether the upstream is alive after now. */
   isAlive: () => Promise<boolean>
   counters: Counters
@@ -21,9 +23,10 @@
  *
  * @returns a function that resolves with whether the end is confirmed, for {@link ExchangeRequest.confirmEnd}
  */
-export function createEndConfirmation ({ id, peer, isAlive, counters, log }: EndConfirmation): () => Promise<boolean> {
+export function createEndConfirmation ({ id, peer, onArrived, isAlive, counters, log }: EndConfirmation): () => Promise<boolean> {
   return async () => {
     const startedAt = performance.now()
+    onArrived()
     const isConfirmed = await isAlive()
     counters.increment(isConfirmed ? END_CONFIRMED_COUNTER : END_UNCONFIRMED_COUNTER)
     if (!isConfirmed) log.warn('answer-end-unconfirmed', { step: Step.Answer, request: id, peer, took: Math.round(performance.now() - startedAt) })
