Guard answers of killed upstream processes at an owner

Tests only: an upstream process that is killed in the middle of an answer without a length, behind two hosts of the daemon form, buffered and passed on while it arrives, and whole ones of a process that lives on.

--- a/__tests__/relay/answerWithoutLength.test.ts
+++ b/__tests__/relay/answerWithoutLength.test.ts
@@ -2,20 +2,25 @@
 import { test } from 'node:test'
 import type { Readable } from 'node:stream'
 import type { ClaimLedger } from '../../src/ledger/ClaimLedger.js'
+import { Counters } from '../../src/observe/Counters.js'
 import { forwardToOwner } from '../../src/relay/forwardToOwner.js'
 import { openPool } from '../../src/relay/openPool.js'
 import { PoisonGuard } from '../../src/relay/PoisonGuard.js'
 import type { RelayAnswer } from '../../src/relay/RelayAnswer.js'
 import { ANSWER_HEAD_HEADER, encodeHead, type RelayAnswerHead } from '../../src/relay/RelayHead.js'
+import { CrashReporter } from '../../src/relay/CrashReporter.js'
 import { storeAnswer } from '../../src/relay/storeAnswer.js'
 import { PeerSignature } from '../../src/transport/PeerSignature.js'
 import { Outcome } from '../../src/types/Outcome.js'
 import { RefusalReason } from '../../src/types/RefusalReason.js'
+import { silentLog } from '../support/createAnnouncement.js'
 import { openRawServer } from '../support/openRawServer.js'
+import { UnframedUpstream } from '../support/UnframedUpstream.js'
 import { createRelayedRequest } from './createRelayedRequest.js'
 import { DEADLINE_MILLISECONDS, forwardThroughOwner } from './forwardThroughOwner.js'
 
 const SMALL = 'part'
+const KILL_MILLISECONDS = 300
 const STREAMED = 'p'.repeat(100)
 const ANSWER_HEAD: RelayAnswerHead = { id: 'r', outcome: Outcome.Ran, reason: undefined, lostUpstreams: [], status: 200, headers: [], pool: undefined }
 
@@ -68,6 +73,23 @@
   assert.equal(await readBody(answer), undefined)
 })
 
+// Guards against a part of an answer that looks whole because the kernel ends the connections of a killed upstream in order.
+for (const kind of ['part', 'whole']) {
+  for (const bytes of [SMALL.length, STREAMED.length]) {
+    test(`an answer of ${bytes} bytes without a length of an upstream process is whole only if that lives on (${kind})`, async (context) => {
+      const upstream = new UnframedUpstream()
+      context.after(() => upstream.kill())
+      const reporter = new CrashReporter({ poison: new PoisonGuard(), notifyPeers: async () => {}, onDead: () => {}, counters: new Counters(), log: silentLog })
+      const address = await upstream.open()
+      if (kind === 'part') setTimeout(() => { upstream.kill().catch(() => {}) }, KILL_MILLISECONDS)
+      const { answer } = await forwardThroughOwner(context, () => {}, { isAlive: (each) => reporter.isAlive(each), upstream: { address, path: `/${kind}/${bytes}` } })
+      const body = await readBody(answer)
+      if (kind === 'whole') assert.equal(body, 'p'.repeat(bytes))
+      else assert.ok(answer.outcome === Outcome.Unknown || body === undefined, `${answer.outcome}, ${body?.length} bytes`)
+    })
+  }
+}
+
 const OWNER_ANSWERS = [
   { name: 'that the hop itself does not delimit', head: ANSWER_HEAD, framing: 'connection: close' },
   { name: 'whose mark of an earlier version tells that nothing delimits it', head: { ...ANSWER_HEAD, endsWithConnection: true }, framing: `content-length: ${SMALL.length}` }
--- a/__tests__/relay/forwardThroughOwner.ts
+++ b/__tests__/relay/forwardThroughOwner.ts
@@ -29,17 +29,27 @@
   runs: number
 }
 
+/** What differs from the default. */
+export interface ForwardOptions {
+  /** Stop window of the owner. */
+  stopWindow?: StopWindow
+  /** How the owner finds out whether the upstream is alive; by default it never is. */
+  isAlive?: OwnerOptions['isAlive']
+  /** An upstream in another process, and the path to request there; `respond` is not called then. */
+  upstream?: { address: string, path: string }
+}
+
 /**
  * Sends a request through two hosts to an upstream.
  *
  * @param respond - writes the upstream's answer
- * @param options - stop window of the owner, and how it finds out whether the upstream is alive; by default never
+ * @param options - what differs from the default
  */
-export async function forwardThroughOwner (context: TestContext, respond: Parameters<typeof openRawServer>[0], { stopWindow = new StopWindow(), isAlive = async () => false }: { stopWindow?: StopWindow, isAlive?: OwnerOptions['isAlive'] } = {}): Promise<ForwardResult> {
+export async function forwardThroughOwner (context: TestContext, respond: Parameters<typeof openRawServer>[0], { stopWindow = new StopWindow(), isAlive = async () => false, upstream: otherUpstream }: ForwardOptions = {}): Promise<ForwardResult> {
   const server = await openRawServer(respond)
   const poison = new PoisonGuard()
   const pools = new PoolRegistry({ queueLength: 1, cap: { admit: () => true, rate: () => Infinity, recordDemand: () => {} } })
-  const upstream = new Upstream(createAnnouncement({ address: server.address, echoesRequest: true }))
+  const upstream = new Upstream(createAnnouncement({ address: otherUpstream?.address ?? server.address, echoesRequest: true }))
   upstream.extendGrant(performance.now() + 60_000)
   pools.ensure('inventario').upstreams.set(upstream.address, upstream)
   const owner = new Owner({ pools, poison, retryBudget: () => new RetryBudget(0), onBroken: async () => {}, isAlive, beginSuspect: async () => () => {}, onCleared: () => {}, answerBufferBytes: BUFFER_BYTES, counters: new Counters(), log: silentLog })
@@ -58,7 +68,7 @@
     await upstream.close()
     await server.close()
   })
-  const answer = await forwardToOwner(createRelayedRequest('f', DEADLINE_MILLISECONDS), {
+  const answer = await forwardToOwner({ ...createRelayedRequest('f', DEADLINE_MILLISECONDS), path: otherUpstream?.path ?? '/' }, {
     address: OWNER_ADDRESS, poison, gone: new AbortController().signal, takeRetry: () => false, fromRegion: 'asturias', trySpend: () => true, connections: connections.to(OWNER_ADDRESS), signature, answerBufferBytes: BUFFER_BYTES
   })
   return { answer, runs: server.received.length }
