Stop reading from a guest with many requests behind an unanswered one

A guest could fill the memory of a host by one connection: requests that it sent behind one that was being answered were all read, and each kept a request and a response. 1,243,109 bytes of such requests (the rest of 50,000) took 195 MB of heap within 1.2 s.

Cause: since requests of a connection are handled one after another, no answer waits behind the first one, and the HTTP library stops reading only when answers wait.

Now a connection with more than 16 waiting requests is not read until one of them has its turn. The library resumes a connection behind each request that it has read, so that the pause is renewed then. All requests are answered in the end.

--- a/src/transport/ConnectionTurns.ts
+++ b/src/transport/ConnectionTurns.ts
@@ -1,6 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
 
+/** Requests that may wait on a connection for the answers before them until the host stops reading from it. */
+const MAXIMUM_WAITING_REQUESTS = 16
+
 /** The latest request of a connection. */
 interface Turn {
   request: IncomingMessage
@@ -17,6 +20,7 @@
  */
 export class ConnectionTurns {
   readonly #turns = new WeakMap<Duplex, Turn>()
+  readonly #waitingCounts = new WeakMap<Duplex, number>()
 
   /**
    * Takes the next turn of the connection of a request.
@@ -34,7 +38,9 @@
       begin.then(() => { if (!socket.writable) resolve() }, resolve)
     })
     this.#turns.set(socket, { request, response, begin, end })
+    this.#recordWaiting(socket, 1)
     await begin
+    this.#recordWaiting(socket, -1)
     return socket.writable
   }
 
@@ -54,4 +60,15 @@
     await end
     return false
   }
+
+  /** The library reads on as long as no answer waits to be written, so that its memory for requests had no bound. */
+  #recordWaiting (socket: Duplex, change: number): void {
+    const pauseIfFull = (): void => { if (this.#waitingCounts.get(socket)! > MAXIMUM_WAITING_REQUESTS) socket.pause() }
+    const count = this.#waitingCounts.get(socket)
+    // The library resumes the connection behind each request that it has read.
+    if (count === undefined) socket.on('resume', pauseIfFull)
+    this.#waitingCounts.set(socket, (count ?? 0) + change)
+    if (change > 0) pauseIfFull()
+    else if (count === MAXIMUM_WAITING_REQUESTS + 1) socket.resume()
+  }
 }
