Keep no requests that arrive behind the last answer of a connection

A guest that went on to send requests behind an answer with `connection: close` filled the memory of the host for up to 10 s: 12.9 MB of requests on one connection took 855 MB of heap in 8.5 s.

Cause: since what callers still send is read before a connection is closed, the HTTP library went on to parse it, and keeps each request and its response until the connection ends.

Evidence: transport/pipelinedRequests.test.ts on the code before: "holds bytes".

The bytes are now read past the parser and discarded. Limits in time are as before.

--- a/__tests__/transport/pipelinedRequests.test.ts
+++ b/__tests__/transport/pipelinedRequests.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import { once } from 'node:events'
+import { ServerResponse, type IncomingMessage } from 'node:http'
 import { connect } from 'node:net'
 import { test } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -13,6 +14,9 @@
 const REQUEST_COUNT = 50_000
 /** What the buffers of both kernels and of the sender may take. */
 const MAXIMUM_READ_BYTES = 131_072
+/** Requests that arrive behind the last answer, in bytes. */
+const LATE_BYTES = 1_200_000
+const MAXIMUM_HEAP_BYTES = 33_554_432
 
 // Guards against a guest that fills the memory of the host with requests behind one that is being answered.
 test('a guest cannot make the host hold any number of requests behind one that is being answered', async (context) => {
@@ -42,3 +46,30 @@
   await waitUntil(() => count === REQUEST_COUNT, performance.now() + 20_000)
   assert.equal(count, REQUEST_COUNT)
 })
+
+// Guards against a guest that fills the memory of the host with requests behind the last answer of its connection.
+test('requests that arrive behind the last answer of a connection are not kept', async (context) => {
+  const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    received = request
+    response.setHeader('connection', 'close').end()
+  }
+  let received: IncomingMessage | undefined
+  const listener = new HttpListener({ address: `${ADDRESS.host}:${ADDRESS.port}`, headerBytes: 8_192, handle, onMalformed: () => '' })
+  await listener.open()
+  context.after(async () => {
+    listener.destroy()
+    await listener.closeWithin(0)
+  })
+  const guest = connect({ ...ADDRESS, allowHalfOpen: true })
+  context.after(() => { guest.destroy() })
+  guest.resume()
+  guest.on('error', () => {})
+  guest.write(REQUEST)
+  await once(guest, 'end')
+  const before = process.memoryUsage().heapUsed
+  guest.write(REQUEST.repeat(REQUEST_COUNT))
+  await waitUntil(() => received!.socket.bytesRead > LATE_BYTES, performance.now() + 10_000)
+  const heapBytes = process.memoryUsage().heapUsed - before
+  assert.ok(received!.socket.bytesRead > LATE_BYTES)
+  assert.ok(heapBytes < MAXIMUM_HEAP_BYTES, `holds ${heapBytes} bytes`)
+})
--- a/src/transport/closeAfterCaller.ts
+++ b/src/transport/closeAfterCaller.ts
@@ -12,6 +12,10 @@
  * @param socket - connection whose last answer has been handed over; what still arrives must be read and discarded
  */
 export function closeAfterCaller (socket: Socket): void {
+  // The HTTP library would keep each further request.
+  socket.removeAllListeners('data')
+  socket.on('data', () => {})
+  socket.resume()
   socket.end(() => {
     if (socket.destroyed) return
     const timer = setTimeout(() => { socket.destroy() }, TOTAL_MILLISECONDS)
