Pass on no part of an answer that its copy filled up

An upstream that breaks an answer off and writes it once more on the same connection gave the guest a 200 of the right length whose body was a part of the answer, the head of the copy, and a part of the copy.

Cause: the stated length was the only check of a framed answer.

Evidence: repeatedWithinLength.test.ts of both forms on the code before: "body body body body body body body body body body HTTP/1.1 200 OK ... Content-Length: 300" in place of the outcome unknown.

A buffered body that contains the head of an answer to the same request, with a length larger than the rest of the body, is now broken. Such a copy cannot be whole within the body, and a body that quotes a whole answer, or one to another request, stays as it is (tests of extraBytes). It is counted and logged as an ambiguous repeated answer.

Not recognized are copies in larger answers, in chunks, and with a cut head.

--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -5,6 +5,7 @@
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
 import { CLOSED_ERROR_CODES, UNSENT_ERROR_CODE } from './connectionErrorCodes.js'
 import type { ExchangeAnswer, ExchangeRequest } from './exchange.js'
+import { findCopy } from './findCopy.js'
 import { hasDelimitedBody } from './hasDelimitedBody.js'
 import type { HeaderField } from './RelayedRequest.js'
 import { RepeatedAnswer } from './RepeatedAnswer.js'
@@ -113,11 +114,11 @@
       return
     }
     const body = Buffer.concat(this.#chunks, this.#bufferedBytes)
-    if (!this.#endsWithConnection) return this.#finish(body)
     // The library does no more for this exchange: what ends it from here on, ends it at once.
     this.#controller = undefined
     const firstBody = this.#separate(body)
     if (firstBody === undefined) return this.#abort(ExchangeFailure.Broken, errorTexts.answerEndUnknown())
+    if (!this.#endsWithConnection) return this.#finish(firstBody)
     if (firstBody.length > MAXIMUM_UNDELIMITED_BYTES) return this.#refuseUndelimited()
     this.#confirmEnd(firstBody).catch((error: unknown) => { this.#abort(ExchangeFailure.Broken, String(error)) })
   }
@@ -174,11 +175,11 @@
     if (!this.#stream!.write(chunk)) controller.pause()
   }
 
-  /** @returns the first answer in a body that the end of the connection delimits, undefined when it is not known where that ends */
+  /** @returns the first answer in a body, undefined when it is not known where that ends */
   #separate (body: Buffer): Buffer | undefined {
     const { separator } = this.#request
     if (separator === undefined) return body
-    const separated = separateAnswers(body, this.#status, separator.identify)
+    const separated = this.#endsWithConnection ? separateAnswers(body, this.#status, separator.identify) : findCopy(body, separator.identify)
     if (separated.found !== undefined) separator.onFound(separated.found)
     return separated.found === RepeatedAnswer.Ambiguous ? undefined : separated.body
   }
