Let the soak watch requests and answers

The soak checked plans only: its upstreams answered each request once and whole, its guests opened a connection for each request and read no body closely. Entry hosts are stopped (SIGTERM, at times twice or after a SIGHUP), reloaded, killed and frozen in series and overlapping.

--- a/__tests__/soak/FaultRunner.ts
+++ b/__tests__/soak/FaultRunner.ts
@@ -5,6 +5,7 @@
 import { Disk, type SoakHost, type SoakSystem } from './SoakSystem.js'
 
 const CHECK_MILLISECONDS = 100
+const SIGNAL_GAP_MILLISECONDS = 150
 const LONGEST_WAIT_FOR_ACKNOWLEDGEMENT_MILLISECONDS = 8_000
 
 /** Plays drawn faults on the hosts of a system. */
@@ -64,7 +65,15 @@
       await sleep(downMilliseconds)
       return this.#system.thaw(host)
     }
-    await this.#system.end(host, blow === Blow.Kill ? 'SIGKILL' : 'SIGTERM')
+    if (blow === Blow.Reload || blow === Blow.ReloadAndTerminate) this.#system.reload(host)
+    if (blow === Blow.Reload) return undefined
+    if (blow === Blow.ReloadAndTerminate) await sleep(SIGNAL_GAP_MILLISECONDS)
+    const ended = this.#system.end(host, blow === Blow.Kill ? 'SIGKILL' : 'SIGTERM')
+    if (blow === Blow.TerminateTwice) {
+      await sleep(SIGNAL_GAP_MILLISECONDS)
+      host.process?.kill('SIGTERM')
+    }
+    await ended
     await sleep(downMilliseconds)
     return await this.#system.revive(host, disk)
   }
--- a/__tests__/soak/SoakGuests.ts
+++ b/__tests__/soak/SoakGuests.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { sendGuestRequest } from '../../examples/platform/httpCalls.js'
 import { Draw } from './Draw.js'
+import { listPlainRoutes } from './raw/rawRoutes.js'
 import { NO_ROUTE } from './SoakPlan.js'
 import type { GuestObservation, SoakRecord } from './SoakRecord.js'
 import { sendOrder } from './sendOrder.js'
@@ -72,7 +73,7 @@
   /** Routes that were just added, moved or removed, or that no plan in force may have. */
   #drawPath (): string {
     if (this.#draw.chance(0.2)) return '/base/'
-    const routes = this.#record.orders.slice(-PROBED_ORDERS).flatMap(({ plan }) => plan.routes.slice(1))
+    const routes = this.#record.orders.slice(-PROBED_ORDERS).flatMap(({ plan }) => listPlainRoutes(plan).slice(1))
     return routes.length === 0 ? '/base/' : this.#draw.pick(routes).prefix
   }
 
--- a/__tests__/soak/SoakOperator.ts
+++ b/__tests__/soak/SoakOperator.ts
@@ -6,7 +6,7 @@
 import type { Attempt, EvacuationOrder, PlanOrder, SoakRecord } from './SoakRecord.js'
 import { sendOrder } from './sendOrder.js'
 import { CONTROL_HOSTS, DOMAINS, type SoakSystem } from './SoakSystem.js'
-import { Leave, type SoakUpstream } from './SoakUpstream.js'
+import { Leave, type UpstreamLife } from './UpstreamLife.js'
 
 const ANSWER_MILLISECONDS = 1_000
 const RETRY_MILLISECONDS = 100
@@ -30,8 +30,9 @@
 export class SoakOperator extends EventEmitter {
   readonly #system: SoakSystem
   readonly #record: SoakRecord
-  readonly #upstreams: readonly SoakUpstream[]
+  readonly #upstreams: readonly UpstreamLife[]
   readonly #draw: Draw
+  readonly #adaptPlan: (draw: Draw, plan: SoakPlan) => SoakPlan
   #current: PlanOrder | undefined
   #evacuated: string | undefined
   #isStopping = false
@@ -39,11 +40,13 @@
   /**
    * @param system - the control hosts
    * @param record - receives the orders
-   * @param upstreams - upstreams that it lets leave
+   * @param upstreams - lives of upstreams that it lets end
    * @param seed - seed of the run
+   * @param adaptPlan - changes each plan that is drawn
    */
-  constructor (system: SoakSystem, record: SoakRecord, upstreams: readonly SoakUpstream[], seed: number) {
+  constructor (system: SoakSystem, record: SoakRecord, upstreams: readonly UpstreamLife[], seed: number, adaptPlan: (draw: Draw, plan: SoakPlan) => SoakPlan) {
     super()
+    this.#adaptPlan = adaptPlan
     this.#upstreams = upstreams
     this.#system = system
     this.#record = record
@@ -52,7 +55,7 @@
 
   /** Sends orders until it is stopped. */
   async run (): Promise<void> {
-    await this.#submit(INITIAL_PLAN, true)
+    await this.#submit(this.#adaptPlan(this.#draw, INITIAL_PLAN), true)
     while (!this.#isStopping) {
       await sleep(this.#draw.between(0, LONGEST_PAUSE_MILLISECONDS))
       if (this.#current === undefined) await this.#readCurrent()
@@ -73,18 +76,22 @@
 
   async #runStep (step: Step, current: PlanOrder): Promise<void> {
     switch (step) {
-      case Step.Change: return await this.#submit(drawChange(this.#draw, current.plan), true)
-      case Step.Invalid: return await this.#submit(drawFault(this.#draw, drawChange(this.#draw, current.plan)), false)
+      case Step.Change: return await this.#submit(this.#drawChange(current), true)
+      case Step.Invalid: return await this.#submit(drawFault(this.#draw, this.#drawChange(current)), false)
       case Step.Resend: return await this.#trySending(current)
       case Step.Evacuate: return await this.#evacuate()
       case Step.Leave: return await this.#letLeave()
       case Step.Race: {
-        const rivals = [drawChange(this.#draw, current.plan), drawChange(this.#draw, current.plan)]
+        const rivals = [this.#drawChange(current), this.#drawChange(current)]
         await Promise.all(rivals.map((plan) => this.#submit(plan, true)))
       }
     }
   }
 
+  #drawChange ({ plan }: PlanOrder): SoakPlan {
+    return this.#adaptPlan(this.#draw, drawChange(this.#draw, plan))
+  }
+
   async #submit (plan: SoakPlan, isValid: boolean): Promise<void> {
     const order: PlanOrder = { id: this.#record.orders.length, plan, body: encodePlan(plan), isValid, attempts: [] }
     this.#record.orders.push(order)
--- a/__tests__/soak/SoakPlan.ts
+++ b/__tests__/soak/SoakPlan.ts
@@ -13,6 +13,8 @@
   targets: SoakTarget[]
   timeoutSeconds: number
   maximumAttempts: number
+  /** Whether its requests may run once at most. */
+  isOnce?: boolean
 }
 
 /** Routing plan as an operator of the soak writes it. */
@@ -28,10 +30,10 @@
 
 /** @returns the plan as the operator submits it */
 export function encodePlan (plan: SoakPlan): string {
-  const rows = plan.routes.map(({ prefix, targets, timeoutSeconds, maximumAttempts }) => {
+  const rows = plan.routes.map(({ prefix, targets, timeoutSeconds, maximumAttempts, isOnce }) => {
     const [only] = targets
     const isSplit = targets.length > 1
-    return [`r${prefix.replaceAll('/', '-')}`, 'stock.example', prefix, 'idempotent', timeoutSeconds, 0.6, 1, isSplit ? null : only?.service, maximumAttempts, false, [], isSplit ? targets : null]
+    return [`r${prefix.replaceAll('/', '-')}`, 'stock.example', prefix, isOnce ? 'non_idempotent' : 'idempotent', timeoutSeconds, 0.6, 1, isSplit ? null : only?.service, maximumAttempts, false, [], isSplit ? targets : null]
   })
   return JSON.stringify({
     version: formatVersion(plan.version),
--- a/__tests__/soak/SoakRecord.ts
+++ b/__tests__/soak/SoakRecord.ts
@@ -1,3 +1,4 @@
+import type { RawRecord } from './raw/RawRecord.js'
 import type { SoakPlan } from './SoakPlan.js'
 
 /** One sending of an order to a control host. Times are those of `performance.now()`, in milliseconds. */
@@ -77,7 +78,7 @@
 }
 
 /** All that clients, operators and upstreams of one run saw, and all faults of the run. */
-export interface SoakRecord {
+export interface SoakRecord extends RawRecord {
   orders: PlanOrder[]
   evacuations: EvacuationOrder[]
   departures: Departure[]
@@ -100,5 +101,5 @@
 
 /** @returns a record without any event */
 export function createRecord (): SoakRecord {
-  return { orders: [], evacuations: [], departures: [], observations: [], arrivals: [], reads: [], disturbances: [], allBackAt: Number.POSITIVE_INFINITY, finalRoutes: [] }
+  return { orders: [], evacuations: [], departures: [], observations: [], arrivals: [], reads: [], disturbances: [], exchanges: [], strayBytes: [], runs: [], reloads: [], allBackAt: Number.POSITIVE_INFINITY, finalRoutes: [] }
 }
--- a/__tests__/soak/SoakSystem.ts
+++ b/__tests__/soak/SoakSystem.ts
@@ -8,7 +8,7 @@
 import { encodeFrame } from '../../src/agreement/storage/encodeFrame.js'
 import { renderTemplate } from './renderTemplate.js'
 import { sendOrder } from './sendOrder.js'
-import type { Disturbance } from './SoakRecord.js'
+import type { Disturbance, SoakRecord } from './SoakRecord.js'
 
 const PORTS = { internal: 27_660, front: 27_144, ready: 27_140, control: 27_146, directory: 27_143 }
 const SEEDS = 3
@@ -61,7 +61,7 @@
 export class SoakSystem {
   readonly hosts: SoakHost[]
   readonly folder = mkdtempSync(join(tmpdir(), 'hibiscusrelay-soak-'))
-  readonly #disturbances: Disturbance[]
+  readonly #record: Pick<SoakRecord, 'disturbances' | 'reloads'>
   readonly #template = readFileSync('deploy/settings.ini', 'utf8')
   readonly #killAll = (): void => { for (const host of this.hosts) host.process?.kill('SIGKILL') }
   #isStopping = false
@@ -69,10 +69,10 @@
   /**
    * @param networkNumber - second number of the loopback addresses
    * @param entryHostCount - number of entry hosts
-   * @param disturbances - receives the disturbances of hosts
+   * @param record - receives disturbances and reloads of hosts
    */
-  constructor (networkNumber: number, entryHostCount: number, disturbances: Disturbance[]) {
-    this.#disturbances = disturbances
+  constructor (networkNumber: number, entryHostCount: number, record: Pick<SoakRecord, 'disturbances' | 'reloads'>) {
+    this.#record = record
     const create = (role: 'control' | 'entry', number: number, domain: string): SoakHost => {
       const name = `${role}-${number}`
       const ip = `127.${networkNumber}.0.${role === 'control' ? number + 1 : CONTROL_HOSTS + number + 1}`
@@ -140,6 +140,12 @@
     return await this.#spawn(host)
   }
 
+  /** Lets a host read its settings again. */
+  reload (host: SoakHost): void {
+    this.#record.reloads.push({ host: host.name, at: performance.now() })
+    host.process?.kill('SIGHUP')
+  }
+
   /** Stops the clock of a host's process, or lets it go on. */
   freeze (host: SoakHost): void {
     this.#disturb(host, 'SIGSTOP')
@@ -229,7 +235,7 @@
   #disturb (host: SoakHost, kind: string): void {
     if (host.disturbance !== undefined) return
     host.disturbance = { host: host.name, kind, from: performance.now(), to: Number.POSITIVE_INFINITY }
-    this.#disturbances.push(host.disturbance)
+    this.#record.disturbances.push(host.disturbance)
   }
 
   #calm (host: SoakHost, at: number): void {
--- a/__tests__/soak/checks/checkRecord.ts
+++ b/__tests__/soak/checks/checkRecord.ts
@@ -3,14 +3,18 @@
 import { checkForbidden } from './checkForbidden.js'
 import { checkInForce } from './checkInForce.js'
 import { checkLeft } from './checkLeft.js'
+import { checkLost } from './checkLost.js'
 import { checkNeverOlder } from './checkNeverOlder.js'
 import { checkOneWinner } from './checkOneWinner.js'
+import { checkOwn } from './checkOwn.js'
 import { checkReads } from './checkReads.js'
 import { checkResent } from './checkResent.js'
+import { checkRuns } from './checkRuns.js'
 import { checkServed } from './checkServed.js'
+import { checkWhole } from './checkWhole.js'
 import { PlanHistory } from './PlanHistory.js'
 
-const CHECKS = [checkInForce, checkNeverOlder, checkForbidden, checkOneWinner, checkServed, checkReads, checkEnd, checkResent, checkLeft]
+const CHECKS = [checkInForce, checkNeverOlder, checkForbidden, checkOneWinner, checkServed, checkReads, checkEnd, checkResent, checkLeft, checkWhole, checkOwn, checkRuns, checkLost]
 
 /** @returns all rules that a run broke, in the order of time */
 export function checkRecord (record: SoakRecord): Breach[] {
--- a/__tests__/soak/drawFaults.ts
+++ b/__tests__/soak/drawFaults.ts
@@ -5,7 +5,12 @@
 export enum Blow {
   Kill = 'kill',
   Terminate = 'terminate',
-  Freeze = 'freeze'
+  Freeze = 'freeze',
+  /** Another SIGTERM follows the first one. */
+  TerminateTwice = 'terminate-twice',
+  /** A SIGHUP goes before the SIGTERM. */
+  ReloadAndTerminate = 'reload-and-terminate',
+  Reload = 'reload'
 }
 
 /** A fault of one host. */
@@ -41,7 +46,14 @@
 
 type StepDrawer = (draw: Draw, entryHosts: number) => HostFault[]
 
-const STEP_DRAWERS: ReadonlyArray<readonly [{ name: string, drawFaults: StepDrawer, atAcknowledgement: number }, number]> = [
+/** A kind of step: how its faults are drawn, and how often it waits for an acknowledgement. */
+export interface StepKind {
+  name: string
+  drawFaults: StepDrawer
+  atAcknowledgement: number
+}
+
+const STEP_DRAWERS: ReadonlyArray<readonly [StepKind, number]> = [
   [{ name: 'kill', drawFaults: (draw) => [drawControl(draw, draw.index(CONTROL_HOSTS), Blow.Kill, draw.pick([Disk.Kept, Disk.Torn]))], atAcknowledgement: 0.5 }, 5],
   [{ name: 'terminate', drawFaults: (draw) => [drawControl(draw, draw.index(CONTROL_HOSTS), Blow.Terminate, Disk.Kept)], atAcknowledgement: 0.2 }, 3],
   [{ name: 'freeze', drawFaults: (draw) => draw.pickSome(CONTROL_NUMBERS, 1 + draw.index(2)).map((host) => drawControl(draw, host, Blow.Freeze, Disk.Kept)), atAcknowledgement: 0.3 }, 5],
@@ -54,8 +66,8 @@
 ]
 
 /** @returns the next step of a run */
-export function drawStep (draw: Draw, entryHosts: number): FaultStep {
-  const { name, drawFaults, atAcknowledgement } = draw.pickWeighted(STEP_DRAWERS)
+export function drawStep (draw: Draw, entryHosts: number, kinds = STEP_DRAWERS): FaultStep {
+  const { name, drawFaults, atAcknowledgement } = draw.pickWeighted(kinds)
   return {
     name,
     atAcknowledgement: draw.chance(atAcknowledgement),
@@ -80,7 +92,8 @@
   return { name: 'last', atAcknowledgement: true, pauseMilliseconds: 0, overlapsNext: false, faults }
 }
 
-function drawControl (draw: Draw, host: number, blow: Blow, disk: Disk): HostFault {
+/** @returns a fault of a control host that begins with its step */
+export function drawControl (draw: Draw, host: number, blow: Blow, disk: Disk): HostFault {
   const downMilliseconds = blow === Blow.Freeze ? draw.between(1_000, LONGEST_FREEZE_MILLISECONDS) : draw.between(SHORTEST_DOWN_MILLISECONDS, LONGEST_DOWN_MILLISECONDS)
   return { role: 'control', host, blow, disk, downMilliseconds, delayMilliseconds: 0 }
 }
@@ -95,6 +108,6 @@
 }
 
 function drawEntryFault (draw: Draw, entryHosts: number): HostFault[] {
-  const fault = drawControl(draw, draw.index(entryHosts), draw.pick(Object.values(Blow)), Disk.Kept)
+  const fault = drawControl(draw, draw.index(entryHosts), draw.pick([Blow.Kill, Blow.Terminate, Blow.Freeze]), Disk.Kept)
   return [{ ...fault, role: 'entry' }]
 }
--- a/__tests__/soak/runSoak.ts
+++ b/__tests__/soak/runSoak.ts
@@ -9,6 +9,10 @@
 import { SERVICES } from './drawPlan.js'
 import { FaultRunner } from './FaultRunner.js'
 import { LoadMeter } from './LoadMeter.js'
+import { drawRawStep } from './raw/drawRawStep.js'
+import { RawPlay } from './raw/RawPlay.js'
+import { addRawRoutes, listPlainRoutes } from './raw/rawRoutes.js'
+import { summarizeAnswers, type AnswerSummary } from './raw/summarizeAnswers.js'
 import { SoakGuests } from './SoakGuests.js'
 import { SoakOperator } from './SoakOperator.js'
 import { createRecord, type Breach, type SoakRecord } from './SoakRecord.js'
@@ -29,6 +33,8 @@
   /** Time during which faults are begun, in milliseconds. */
   faultMilliseconds: number
   entryHosts: number
+  /** Guests that watch answers closely; with any, most steps are planned stops, reloads and faults of entry hosts. */
+  rawGuests: number
 }
 
 /** What a run has shown. */
@@ -42,6 +48,7 @@
   /** Requests whose time to show a plan had passed. */
   judgedRequests: number
   requests: number
+  answers: AnswerSummary
   breaches: Breach[]
   /** Lines that tell the course of the run. */
   lines: string[]
@@ -50,30 +57,34 @@
 }
 
 /** Plays one run on real processes, and checks what clients and operators saw. */
-export async function runSoak ({ seed, faultMilliseconds, entryHosts }: SoakOptions): Promise<SoakResult> {
+export async function runSoak ({ seed, faultMilliseconds, entryHosts, rawGuests }: SoakOptions): Promise<SoakResult> {
   const startedAt = performance.now()
   const record = createRecord()
   const network = await reserveNetwork()
-  const system = new SoakSystem(network.number, entryHosts, record.disturbances)
+  const system = new SoakSystem(network.number, entryHosts, record)
   const load = new LoadMeter(system, record.disturbances)
   const upstreams = createUpstreams(system, record)
-  const operator = new SoakOperator(system, record, upstreams, seed)
+  const rawPlay = new RawPlay(system, record, seed, rawGuests)
+  const lives = [...upstreams.map(({ life }) => life), ...rawPlay.lives]
+  const operator = new SoakOperator(system, record, lives, seed, rawGuests > 0 ? addRawRoutes : (_, plan) => plan)
   const guests = new SoakGuests(system, record, seed)
   const lines: string[] = []
   const runner = new FaultRunner(system, operator, (text) => { lines.push(`${formatSeconds(performance.now() - startedAt)} ${text}`) })
   let breaches: Breach[] = []
   try {
     system.start()
-    await Promise.all(upstreams.map((upstream) => upstream.open()))
+    await Promise.all([rawPlay, ...upstreams].map((each) => each.open()))
     const firstAcknowledgement = operator.waitForAcknowledgement(START_MILLISECONDS)
     const orders = operator.run()
     const guestRequests = guests.run()
     const draw = new Draw(seed, 3)
     await firstAcknowledgement
     const isStarted = findAcknowledgement(record.orders[0]!.attempts) !== undefined
-    if (isStarted) await playFaults(runner, draw, entryHosts, faultMilliseconds)
+    const rawRequests = rawPlay.run()
+    if (isStarted) await (rawGuests > 0 ? playRawFaults : playFaults)(runner, draw, entryHosts, faultMilliseconds)
+    rawPlay.stop()
     operator.stop()
-    await orders
+    await Promise.all([orders, rawRequests])
     await watchRecovery(system, guests, record)
     guests.stop()
     await guestRequests
@@ -81,7 +92,7 @@
     if (!isStarted) breaches.unshift({ check: 'start', at: startedAt, detail: `no control host acknowledged the first plan within ${START_MILLISECONDS} ms` })
   } finally {
     load.stop()
-    for (const upstream of upstreams) upstream.close()
+    for (const each of [rawPlay, ...upstreams]) each.close()
     await system.stop(breaches.length > 0)
     network.release()
   }
@@ -92,7 +103,7 @@
   }
   const slow = record.disturbances.filter(({ kind }) => kind === 'slow').reduce((sum, { from, to }) => sum + to - from, 0)
   const acknowledged = [...record.orders, ...record.evacuations].filter(({ attempts }) => findAcknowledgement(attempts) !== undefined).length + record.departures.length
-  return { seed, seconds: (performance.now() - startedAt) / 1_000, acknowledged, faults: runner.faultCount, slowSeconds: slow / 1_000, judgedRequests: countJudged(record), requests: record.observations.length, breaches, lines, folder: system.folder }
+  return { seed, seconds: (performance.now() - startedAt) / 1_000, acknowledged, faults: runner.faultCount, slowSeconds: slow / 1_000, judgedRequests: countJudged(record), requests: record.observations.length, answers: summarizeAnswers(record), breaches, lines, folder: system.folder }
 }
 
 async function playFaults (runner: FaultRunner, draw: Draw, entryHosts: number, milliseconds: number): Promise<void> {
@@ -103,13 +114,20 @@
   await runner.play(drawLastStep(draw))
 }
 
+async function playRawFaults (runner: FaultRunner, draw: Draw, entryHosts: number, milliseconds: number): Promise<void> {
+  const deadline = performance.now() + milliseconds
+  while (performance.now() < deadline) await runner.play(drawRawStep(draw, entryHosts))
+  await runner.finish()
+}
+
 /** Waits until the newest plan is read and all its routes are served at all entry hosts, or the time to recover has passed. */
 async function watchRecovery (system: SoakSystem, guests: SoakGuests, record: SoakRecord): Promise<void> {
   record.allBackAt = performance.now()
   const isInTime = (): boolean => performance.now() < new PlanHistory(record).recoveryDeadline
   while (isInTime() && (performance.now() < record.allBackAt + WATCH_MILLISECONDS || countControlHostsRead(record) < CONTROL_HOSTS)) await sleep(POLL_MILLISECONDS)
   const text = record.reads.findLast(({ status }) => status === 200)?.text
-  const routes = record.orders.find(({ body }) => body === text)?.plan.routes ?? []
+  const plan = record.orders.find(({ body }) => body === text)?.plan
+  const routes = plan === undefined ? [] : listPlainRoutes(plan)
   record.finalRoutes = system.entryHosts.flatMap((_, entryHost) => routes.map(({ prefix }) => ({ entryHost, path: prefix, servedAt: undefined })))
   const probeDeadline = performance.now() + PROBE_MILLISECONDS
   await Promise.all(record.finalRoutes.map(async (route) => {
--- a/__tests__/soak/soak.test.ts
+++ b/__tests__/soak/soak.test.ts
@@ -16,7 +16,7 @@
 
 for (const [seed, guardedFailure] of SEEDS) {
   test(`no rule of changes is broken while hosts are killed, frozen and lose their disks (seed ${seed}: ${guardedFailure})`, { timeout: TIMEOUT_MILLISECONDS }, async (context) => {
-    const { seconds, acknowledged, faults, slowSeconds, judgedRequests, requests, breaches, lines, folder } = await runSoak({ seed, faultMilliseconds: FAULT_MILLISECONDS, entryHosts: 2 })
+    const { seconds, acknowledged, faults, slowSeconds, judgedRequests, requests, breaches, lines, folder } = await runSoak({ seed, faultMilliseconds: FAULT_MILLISECONDS, entryHosts: 2, rawGuests: 0 })
     context.diagnostic(`${seconds.toFixed(0)} s, ${acknowledged} acknowledged, ${faults} faults, ${judgedRequests} of ${requests} requests judged, machine slow for ${slowSeconds.toFixed(1)} s`)
     assert.equal(breaches.length, 0, `logs in ${folder}\n${lines.join('\n')}`)
   })
