--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -12,6 +12,7 @@
 import { EventLoopMonitor } from '../observe/EventLoopMonitor.js'
 import type { LatencyBuckets } from '../observe/LatencyBuckets.js'
 import type { Log } from '../observe/Log.js'
+import { recordIdleFailure } from '../observe/recordIdleFailure.js'
 import type { RetryBound } from '../placement/RetryShare.js'
 import type { EntryHost } from '../registry/EntryHost.js'
 import { isGone } from '../registry/UpstreamRecord.js'
@@ -79,7 +80,7 @@
   readonly #options: EntryHostOptions
   readonly #known = new KnownState()
   readonly #loads = new UpstreamLoads(this.#known)
-  readonly #connections = new UpstreamConnections()
+  readonly #connections = new UpstreamConnections((address, cause) => { recordIdleFailure(this.#options, address, cause) })
   readonly #runs = new UpstreamRuns()
   readonly #stopWindow = new StopWindow()
   readonly #crashes = new CrashTable()
@@ -201,7 +202,7 @@
   }
 
   #createSender (): UpstreamSender {
-    const { protocol, log } = this.#options
+    const { protocol, counters, log } = this.#options
     return new UpstreamSender({
       known: this.#known,
       loads: this.#loads,
@@ -211,10 +212,11 @@
       crashes: this.#crashes,
       detector: this.#crashDetector,
       onExcuse: () => { this.#crashSharer.share() },
-      notices: new UpstreamNotices({ hostName: this.#options.settings().name, known: this.#known, loads: this.#loads, onLeaving: () => { this.#pruneGoneUpstreams() }, counters: this.#options.counters, log }),
+      notices: new UpstreamNotices({ hostName: this.#options.settings().name, known: this.#known, loads: this.#loads, onLeaving: () => { this.#pruneGoneUpstreams() }, counters, log }),
       stopWindow: this.#stopWindow,
       answerBufferBytes: MAXIMUM_BUFFERED_ANSWER_BYTES,
       answerBudget: new AnswerBudget(MAXIMUM_BUFFERED_BYTES, MAXIMUM_STREAMED_ANSWERS),
+      counters,
       log
     })
   }
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -3,14 +3,16 @@
 import type { Dispatcher } from 'undici'
 import { errorTexts } from '../errors/errorTexts.js'
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
+import { AnswerSeparator } from './AnswerSeparator.js'
+import { CLOSED_ERROR_CODES, UNSENT_ERROR_CODE } from './connectionErrorCodes.js'
 import type { ExchangeAnswer, ExchangeRequest } from './exchange.js'
 import type { HeaderField } from './RelayedRequest.js'
 
-const UNREACHABLE_ERROR_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL'])
-
 /** Buffer of an answer that is passed on while it arrives: what its receiver does not read stays at the sender. */
 const STREAM_BUFFER_BYTES = 16_384
 const ANSWER_DISCARDED = 'the rest of the answer is not needed'
+/** Interim responses (status 1xx) precede the answer; they are no part of it. */
+const MINIMUM_FINAL_STATUS = 200
 const BODILESS_STATUSES = new Set([204, 304])
 
 /** Handles one exchange: records whether bytes were written, collects the answer and enforces the deadline. */
@@ -35,6 +37,8 @@
   /** Number of these bytes that are taken from the budget. */
   #reservedBytes = 0
   #endsWithConnection = false
+  /** Present while an answer arrives behind which a further one could not be told from its body. */
+  #separator: AnswerSeparator | undefined
   #stream: PassThrough | undefined
 
   /**
@@ -76,9 +80,12 @@
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+    if (status < MINIMUM_FINAL_STATUS) return
     this.#status = status
     this.#headers = listHeaders(headers)
     this.#endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && !hasNoBody(this.#request.method, status)
+    const { separator } = this.#request
+    if (this.#endsWithConnection && separator !== undefined) this.#separator = new AnswerSeparator(status, separator)
     const head = { status, headers: this.#headers }
     this.#request.onHead?.(head)
     if (this.#request.isHeadSufficient?.(head) === true) this.#endAtHead(controller)
@@ -95,19 +102,25 @@
   }
 
   onResponseEnd (): void {
+    const lastBytes = this.#takeLastBytes()
+    if (lastBytes === undefined) {
+      this.#failure = ExchangeFailure.Broken
+      this.onResponseError(null, new Error(errorTexts.answerEndUnknown()))
+      return
+    }
     this.#markEnded(undefined)
     if (this.#stream !== undefined) {
-      this.#stream.end()
+      this.#stream.end(lastBytes)
       return
     }
-    this.#resolve(this.#createAnswer(Buffer.concat(this.#chunks, this.#bufferedBytes)))
+    this.#resolve(this.#createAnswer(lastBytes))
   }
 
   onResponseError (_controller: Dispatcher.DispatchController | null, cause: Error): void {
     if (this.#hasEnded) return
     const failure = this.#failure ?? classifyError(cause, this.#isWritten)
     this.#markEnded(failure)
-    const error = new ExchangeError(failure, this.#request.peer, this.#isWritten, cause)
+    const error = new ExchangeError(failure, this.#request.peer, this.#isWritten && failure !== ExchangeFailure.Stale, cause)
     this.#stream?.destroy(error)
     this.#reject(error)
   }
@@ -140,7 +153,17 @@
   }
 
   #writeChunk (controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (!this.#stream!.write(chunk)) controller.pause()
+    if (this.#hasEnded) return
+    const passed = this.#separator === undefined ? chunk : this.#separator.pass(chunk)
+    if (passed === undefined) return this.#abort(ExchangeFailure.Broken, errorTexts.answerEndUnknown())
+    if (!this.#stream!.write(passed)) controller.pause()
+  }
+
+  /** @returns the bytes that were not passed on yet, undefined when it is not known whether the answer ended before them */
+  #takeLastBytes (): Buffer | undefined {
+    if (this.#stream !== undefined) return this.#separator === undefined ? Buffer.alloc(0) : this.#separator.finish()
+    const body = Buffer.concat(this.#chunks, this.#bufferedBytes)
+    return this.#separator === undefined ? body : this.#separator.separate(body)
   }
 
   #tryReserve (bytes: number): boolean {
@@ -187,9 +210,11 @@
   }
 }
 
-function classifyError (cause: NodeJS.ErrnoException, isWritten: boolean): ExchangeFailure {
-  if (!isWritten || UNREACHABLE_ERROR_CODES.has(cause.code ?? '')) return ExchangeFailure.Unreachable
-  return ExchangeFailure.Broken
+function classifyError ({ code = '' }: NodeJS.ErrnoException, isWritten: boolean): ExchangeFailure {
+  if (code === UNSENT_ERROR_CODE) return ExchangeFailure.Stale
+  if (isWritten) return ExchangeFailure.Broken
+  // The host itself closed the connections, as the upstream is not in use any more.
+  return CLOSED_ERROR_CODES.has(code) ? ExchangeFailure.Forbidden : ExchangeFailure.Unreachable
 }
 
 function hasNoBody (method: string, status: number): boolean {
--- a/src/relay/FramingLimitClient.ts
+++ b/src/relay/FramingLimitClient.ts
@@ -1,79 +1,71 @@
-import type { Socket } from 'node:net'
 import { Client, type buildConnector, type Dispatcher } from 'undici'
-import { errorTexts } from '../errors/errorTexts.js'
+import { ConnectionGuard } from './ConnectionGuard.js'
 import { EndHold } from './EndHold.js'
 
-/** Maximum number of bytes received without a response head, body data or an end: a head has at most 16 KB, the rest allows for buffers. */
-const MAXIMUM_FRAMING_BYTES = 262_144
-
-/** What is done at the connection of a client while it is used. */
-interface ConnectionWatch {
-  recordProgress: () => void
-  hold: EndHold | undefined
+/** What watches the present connection of a client. */
+interface Watch {
+  guard?: ConnectionGuard
+  hold?: EndHold
 }
 
 /**
- * A client that closes its connection when too many received bytes make no progress. The HTTP library limits header
- * fields, but neither the reason phrase of a status line nor the extension of a chunk, which may go on until the deadline.
- * An end of the connection waits until a paused answer is read on.
+ * A client that closes its connection when too many received bytes make no progress, and when it may not be used again. The
+ * HTTP library limits header fields, but neither the reason phrase of a status line nor the extension of a chunk, which may
+ * go on until the deadline. An end of the connection waits until a paused answer is read on.
  */
 export class FramingLimitClient extends Client {
-  readonly #watch: ConnectionWatch
+  readonly #current: Watch
 
   /**
    * @param origin - URL of the server
    * @param options - options of the library's client; `connect` opens the connections
+   * @param onIdleFailure - called with the cause when a connection fails while no request is on it
    */
-  constructor (origin: URL, options: Client.Options & { connect: buildConnector.connector }) {
-    const watch: ConnectionWatch = { recordProgress: () => {}, hold: undefined }
-    super(origin, { ...options, connect: connectWithWatch(options.connect, watch) })
-    this.#watch = watch
+  constructor (origin: URL, options: Client.Options & { connect: buildConnector.connector }, onIdleFailure?: (cause: string) => void) {
+    const current: Watch = {}
+    super(origin, { ...options, connect: connectWithGuard(options.connect, current, onIdleFailure) })
+    this.#current = current
   }
 
   override dispatch (options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-    return super.dispatch(options, trackProgress(handler, this.#watch))
+    return super.dispatch(options, trackProgress(handler, this.#current))
   }
 }
 
-function connectWithWatch (connect: buildConnector.connector, watch: ConnectionWatch): buildConnector.connector {
+function connectWithGuard (connect: buildConnector.connector, current: Watch, onIdleFailure?: (cause: string) => void): buildConnector.connector {
   return (options, callback) => {
     connect(options, (...result: Parameters<buildConnector.Callback>) => {
       const [error, socket] = result
       // A failed connection is reported with an error and without a socket.
-      if (error === null && socket !== null) Object.assign(watch, { recordProgress: limitFraming(socket), hold: new EndHold(socket) })
+      if (error === null && socket !== null) Object.assign(current, { guard: new ConnectionGuard(socket, onIdleFailure), hold: new EndHold(socket) })
       callback(...result)
     })
   }
 }
 
-/**
- * Destroys the socket when too many bytes arrive without progress.
- *
- * @returns a function that records progress at the number of bytes read so far
- */
-function limitFraming (socket: Socket): () => void {
-  let bytesAtProgress = 0
-  socket.on('readable', () => {
-    if (socket.bytesRead - bytesAtProgress > MAXIMUM_FRAMING_BYTES) socket.destroy(new Error(errorTexts.framingLimitExceeded(MAXIMUM_FRAMING_BYTES)))
-  })
-  return () => { bytesAtProgress = socket.bytesRead }
-}
-
-/** Handler methods whose calls mean progress, with their names in both handler interfaces of the library. */
-const PROGRESS_METHODS = new Set<string | symbol>(['onConnect', 'onRequestStart', 'onData', 'onResponseData'])
+/** Handler methods by what their calls mean, with their names in both handler interfaces of the library. */
+const START_METHODS = new Set<string | symbol>(['onConnect', 'onRequestStart'])
+const PROGRESS_METHODS = new Set<string | symbol>(['onData', 'onResponseData'])
+const END_METHODS = new Set<string | symbol>(['onComplete', 'onResponseEnd'])
 const MINIMUM_FINAL_STATUS = 200
 
-/** Wraps a handler to record progress and pauses. The library passes handlers of either of two interfaces, so methods are matched by name. */
-function trackProgress (handler: Dispatcher.DispatchHandler, watch: ConnectionWatch): Dispatcher.DispatchHandler {
+/** Wraps a handler to tell the guard of the connection. The library passes handlers of either of two interfaces, so methods are matched by name. */
+function trackProgress (handler: Dispatcher.DispatchHandler, current: Watch): Dispatcher.DispatchHandler {
   return new Proxy(handler, {
     get: (target, name) => {
       const value: unknown = Reflect.get(target, name)
       if (typeof value !== 'function') return value
       return (...parameters: unknown[]): unknown => {
-        if (PROGRESS_METHODS.has(name) || isFinalHead(name, parameters)) watch.recordProgress()
-        const result: unknown = value.apply(target, name === 'onHeaders' ? holdUntilResumed(parameters, watch) : parameters)
+        if (START_METHODS.has(name)) {
+          current.guard?.assertQuiet()
+          value.apply(target, parameters)
+          return current.guard?.begin()
+        }
+        if (END_METHODS.has(name)) current.guard?.end()
+        else if (PROGRESS_METHODS.has(name) || isFinalHead(name, parameters)) current.guard?.recordProgress()
+        const result: unknown = value.apply(target, name === 'onHeaders' ? holdUntilResumed(parameters, current.hold) : parameters)
         // The library's pool passes handlers that pause by this result.
-        if (result === false) watch.hold?.pause()
+        if (result === false) current.hold?.pause()
         return result
       }
     }
@@ -81,7 +73,7 @@
 }
 
 /** @returns the parameters of a head with a function that resumes its answer and lets the connection end */
-function holdUntilResumed ([status, headers, resume, ...rest]: unknown[], { hold }: ConnectionWatch): unknown[] {
+function holdUntilResumed ([status, headers, resume, ...rest]: unknown[], hold: EndHold | undefined): unknown[] {
   return [status, headers, () => { hold === undefined ? (resume as () => void)() : hold.resume(resume as () => void) }, ...rest]
 }
 
--- a/src/transport/PeerClient.ts
+++ b/src/transport/PeerClient.ts
@@ -1,7 +1,8 @@
 import { JSONRPCClient, JSONRPCErrorException, type JSONRPCResponse } from 'json-rpc-2.0'
-import { Agent } from 'undici'
+import { Agent, buildConnector } from 'undici'
 import { errorTexts } from '../errors/errorTexts.js'
 import { PeerCallError } from '../errors/PeerCallError.js'
+import { failOnConnectionReset } from '../relay/failOnConnectionReset.js'
 import type { PeerMethod } from '../types/PeerMethod.js'
 import { CallCollector } from './CallCollector.js'
 import { BODY_ENCODING, encodeBody } from './encodeBody.js'
@@ -17,13 +18,14 @@
 
 /** Calls methods of other hosts with JSON-RPC 2.0 over persistent HTTP connections. */
 export class PeerClient {
-  readonly #agent = new Agent({ connections: CONNECTIONS_PER_PEER, pipelining: 1, connectTimeout: CONNECT_TIMEOUT_MILLISECONDS })
+  readonly #agent = new Agent({ connections: CONNECTIONS_PER_PEER, pipelining: 1, connect: failOnConnectionReset(buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS })) })
   readonly #signature: PeerSignature
   readonly #dialAddress: (address: string) => string
   readonly #localHost: LocalHost | undefined
   /** What each peer said last; one that was started again with an earlier version accepts nothing. */
   readonly #acceptedEncodingsByAddress = new Map<string, string>()
   #bytesSent = 0
+  #callCount = 0
 
   /**
    * @param signature - signer of the calls
@@ -52,7 +54,7 @@
       if (answer.id !== request.id) throw new Error(errorTexts.answerNamesOtherCall())
       isAnswered = true
       client.receive(answer)
-    })
+    }, () => this.#nextCallId())
     try {
       return await client.request(method, parameters) as Result
     } catch (error) {
@@ -66,6 +68,12 @@
     await this.#agent.destroy()
   }
 
+  /** An answer that a peer writes once more must not name the next call on its connection. */
+  #nextCallId (): number {
+    this.#callCount += 1
+    return this.#callCount
+  }
+
   async #post (address: string, text: string, timeoutMilliseconds: number): Promise<JSONRPCResponse> {
     const { body, encoding } = encodeBody(text, this.#acceptedEncodingsByAddress.get(address) ?? '')
     const encodingHeader = encoding === undefined ? {} : { 'content-encoding': encoding }
