--- a/__tests__/soak/raw/RawGuests.ts
+++ b/__tests__/soak/raw/RawGuests.ts
@@ -68,23 +68,9 @@
   }
 
   #createExchange (draw: Draw, entryHost: number, isKept: boolean): RawExchange {
-    return {
-      attempt: `r-${++this.#attempts}`,
-      entryHost,
-      isKept,
-      isIdempotent: draw.chance(0.5),
-      isSlowReader: draw.chance(SLOW_READER_SHARE),
-      sentAt: performance.now(),
-      endedAt: Number.POSITIVE_INFINITY,
-      end: AnswerEnd.GivenUp,
-      error: undefined,
-      status: undefined,
-      answeredAttempt: undefined,
-      signature: undefined,
-      bodyBytes: 0,
-      digest: '',
-      beginning: ''
-    }
+    const request = { attempt: `r-${++this.#attempts}`, entryHost, isKept, isIdempotent: draw.chance(0.5), isSlowReader: draw.chance(SLOW_READER_SHARE), sentAt: performance.now() }
+    const answer = { error: undefined, status: undefined, answeredAttempt: undefined, signature: undefined, bodyBytes: 0, digest: '', beginning: '' }
+    return { ...request, ...answer, endedAt: Number.POSITIVE_INFINITY, end: AnswerEnd.GivenUp }
   }
 }
 
--- /dev/null
+++ b/__tests__/soak/raw/createRawUpstreams.ts
@@ -0,0 +1,15 @@
+import { DOMAINS, type SoakSystem } from '../SoakSystem.js'
+import type { RawRecord } from './RawRecord.js'
+import { RAW_SERVICES } from './rawRoutes.js'
+import { RawUpstream } from './RawUpstream.js'
+
+const UPSTREAMS_PER_SERVICE = 3
+
+/** @returns the upstreams of raw guests, in different failure domains */
+export function createRawUpstreams (system: SoakSystem, record: RawRecord, seed: number): RawUpstream[] {
+  const listControlAddresses = (): string[] => system.controlHosts.map((_, number) => system.getControlAddress(number))
+  return RAW_SERVICES.flatMap((service, index) => Array.from({ length: UPSTREAMS_PER_SERVICE }, (_, number) => {
+    const options = { id: `${service}-${number}`, service, domain: DOMAINS[index + 2 * number]!, listControlAddresses }
+    return new RawUpstream(options, record, seed, UPSTREAMS_PER_SERVICE * index + number)
+  }))
+}
--- a/__tests__/soak/runSoak.ts
+++ b/__tests__/soak/runSoak.ts
@@ -9,8 +9,9 @@
 import { SERVICES } from './drawPlan.js'
 import { FaultRunner } from './FaultRunner.js'
 import { LoadMeter } from './LoadMeter.js'
+import { createRawUpstreams } from './raw/createRawUpstreams.js'
 import { drawRawStep } from './raw/drawRawStep.js'
-import { RawPlay } from './raw/RawPlay.js'
+import { RawGuests } from './raw/RawGuests.js'
 import { addRawRoutes, listPlainRoutes } from './raw/rawRoutes.js'
 import { summarizeAnswers, type AnswerSummary } from './raw/summarizeAnswers.js'
 import { SoakGuests } from './SoakGuests.js'
@@ -63,26 +64,25 @@
   const network = await reserveNetwork()
   const system = new SoakSystem(network.number, entryHosts, record)
   const load = new LoadMeter(system, record.disturbances)
-  const upstreams = createUpstreams(system, record)
-  const rawPlay = new RawPlay(system, record, seed, rawGuests)
-  const lives = [...upstreams.map(({ life }) => life), ...rawPlay.lives]
-  const operator = new SoakOperator(system, record, lives, seed, rawGuests > 0 ? addRawRoutes : (_, plan) => plan)
+  const upstreams = [...createUpstreams(system, record), ...rawGuests > 0 ? createRawUpstreams(system, record, seed) : []]
+  const operator = new SoakOperator(system, record, upstreams.map(({ life }) => life), seed, rawGuests > 0 ? addRawRoutes : (_, plan) => plan)
   const guests = new SoakGuests(system, record, seed)
+  const closeGuests = new RawGuests(system, record, seed, rawGuests)
   const lines: string[] = []
   const runner = new FaultRunner(system, operator, (text) => { lines.push(`${formatSeconds(performance.now() - startedAt)} ${text}`) })
   let breaches: Breach[] = []
   try {
     system.start()
-    await Promise.all([rawPlay, ...upstreams].map((each) => each.open()))
+    await Promise.all(upstreams.map((upstream) => upstream.open()))
     const firstAcknowledgement = operator.waitForAcknowledgement(START_MILLISECONDS)
     const orders = operator.run()
     const guestRequests = guests.run()
     const draw = new Draw(seed, 3)
     await firstAcknowledgement
     const isStarted = findAcknowledgement(record.orders[0]!.attempts) !== undefined
-    const rawRequests = rawPlay.run()
+    const rawRequests = closeGuests.run()
     if (isStarted) await (rawGuests > 0 ? playRawFaults : playFaults)(runner, draw, entryHosts, faultMilliseconds)
-    rawPlay.stop()
+    closeGuests.stop()
     operator.stop()
     await Promise.all([orders, rawRequests])
     await watchRecovery(system, guests, record)
@@ -92,7 +92,7 @@
     if (!isStarted) breaches.unshift({ check: 'start', at: startedAt, detail: `no control host acknowledged the first plan within ${START_MILLISECONDS} ms` })
   } finally {
     load.stop()
-    for (const each of [rawPlay, ...upstreams]) each.close()
+    for (const upstream of upstreams) upstream.close()
     await system.stop(breaches.length > 0)
     network.release()
   }
