--- a/src/entry/GuestListener.ts
+++ b/src/entry/GuestListener.ts
@@ -6,10 +6,11 @@
 import { refusalCounter } from '../observe/declareCounters.js'
 import type { Log } from '../observe/Log.js'
 import { chooseRetryAfter } from '../placement/chooseRetryAfter.js'
-import { deliverAnswer } from '../relay/deliverBody.js'
+import { deliverAnswer } from '../relay/deliverAnswer.js'
 import { isHopByHopHeader } from '../relay/isHopByHopHeader.js'
 import { answerUnknown, refuse } from '../relay/refuse.js'
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
+import { replaceUnframableAnswer } from '../relay/replaceUnframableAnswer.js'
 import { countHeadBytes } from '../guest/countHeadBytes.js'
 import { listEndToEndHeaders } from '../guest/listEndToEndHeaders.js'
 import { readBodyUntil } from '../transport/readBodyUntil.js'
@@ -76,9 +77,9 @@
     if (typeof request === 'string') return await this.#refuse(message, response, request)
     if (await hasCallerDisconnected(message)) return this.#discardRequest(response, request)
     progress.isPassedOn = true
-    const answer = await this.#options.relay.serve(request)
+    const relayedAnswer = await this.#options.relay.serve(request)
     if (response.destroyed) return
-    await this.#deliver(response, answer, request)
+    await this.#deliver(response, replaceUnframableAnswer(relayedAnswer, message, request.id, this.#options), request)
   }
 
   /** A guest must learn from a host with a defect, too, whether its request may have run. An answer that has begun is broken off. */
--- a/src/observe/declareCounters.ts
+++ b/src/observe/declareCounters.ts
@@ -9,6 +9,13 @@
 /** Name of the counter of kept connections to upstreams that failed, or received bytes, while no request was on them. */
 export const IDLE_CONNECTION_COUNTER = 'connections.idle-failed'
 
+/** Name of the counter of answers that ended with their connection and whose upstream was alive afterwards. */
+export const END_CONFIRMED_COUNTER = 'answer-end.confirmed'
+/** Name of the counter of answers that ended with their connection and are lost, as nothing confirmed that they were whole. */
+export const END_UNCONFIRMED_COUNTER = 'answer-end.unconfirmed'
+/** Name of the counter of answers that could not reach their HTTP/1.0 guest, since nothing would have told where they end. */
+export const UNFRAMABLE_COUNTER = 'answer-end.not-for-http-1.0'
+
 /**
  * Declares the counters of all refusal reasons, retry reasons and outcomes, so that they are readable from the start.
  *
@@ -20,6 +27,7 @@
   for (const found of Object.values(RepeatedAnswer)) counters.declare(repeatedAnswerCounter(found))
   counters.declare(RETRY_BUDGET_COUNTER)
   counters.declare(IDLE_CONNECTION_COUNTER)
+  for (const counter of [END_CONFIRMED_COUNTER, END_UNCONFIRMED_COUNTER, UNFRAMABLE_COUNTER]) counters.declare(counter)
   for (const outcome of Object.values(Outcome)) counters.declare(outcomeCounter(outcome))
 }
 
--- a/src/relay/forwardToOwner.ts
+++ b/src/relay/forwardToOwner.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from 'undici'
+import { errorTexts } from '../errors/errorTexts.js'
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
 import type { PeerSignature } from '../transport/PeerSignature.js'
 import { SIGNATURE_HEADER } from '../transport/PeerSignature.js'
@@ -6,8 +7,9 @@
 import { RequestClass } from '../types/RequestClass.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { joinSignals } from '../utils/joinSignals.js'
-import { exchange, type AnswerHead, type AnswerLimits } from './exchange.js'
+import { exchange, type AnswerHead, type AnswerLimits, type ExchangeAnswer } from './exchange.js'
 import { answerFailedExchange } from './answerFailedExchange.js'
+import { discardAnswer } from './discardAnswer.js'
 import type { PoisonGuard } from './PoisonGuard.js'
 import { answerUnknown, refuse } from './refuse.js'
 import type { RelayAnswer } from './RelayAnswer.js'
@@ -65,11 +67,7 @@
       isHeadSufficient: (head) => findAnswerHead(head)?.id !== request.id,
       mayWrite: request.mayStart
     })
-    const answerHead = findAnswerHead(answer)
-    if (answerHead?.id !== request.id) throw new ExchangeError(ExchangeFailure.Broken, owner.address, true)
-    const { id, lostUpstreams, ...rest } = answerHead
-    if (lostUpstreams.length > 0) owner.poison.recordLoss({ fingerprint: request.fingerprint, lostUpstreams })
-    return { ...rest, body: answer.body }
+    return readOwnerAnswer(answer, request, owner)
   } catch (error) {
     if (!(error instanceof ExchangeError)) throw error
     if (error.failure === ExchangeFailure.Unreachable) return refuse(RefusalReason.OwnerUnreachable)
@@ -94,6 +92,18 @@
   }
 }
 
+function readOwnerAnswer (answer: ExchangeAnswer, request: RelayedRequest, owner: OwnerConnection): RelayAnswer {
+  const answerHead = findAnswerHead(answer)
+  if (answerHead?.id !== request.id) throw new ExchangeError(ExchangeFailure.Broken, owner.address, true)
+  const { id, lostUpstreams, endsWithConnection, ...rest } = answerHead
+  if (lostUpstreams.length > 0) owner.poison.recordLoss({ fingerprint: request.fingerprint, lostUpstreams })
+  if (endsWithConnection === true) {
+    discardAnswer(answer)
+    throw new ExchangeError(ExchangeFailure.Broken, owner.address, true, new Error(errorTexts.answerEndNotConfirmed()))
+  }
+  return { ...rest, body: answer.body }
+}
+
 function encodeRequestHead (request: RelayedRequest, { fromRegion, poison }: OwnerConnection): string {
   return encodeHead(createRelayHead(request, fromRegion, poison.describe(request.fingerprint).lostUpstreams))
 }
