Tell a reset that comes with the last bytes from an end in order

Cause: when data and the reset lie in the kernel before the process reads, the runtime reads the data and then tells an end in order, since the kernel reports a hang-up with a partial read. The error is only told by a later write. A busy host meets it often.

At the end of a connection to an upstream a write of no byte is tried. It sends nothing, and fails on a connection that was reset; behind an end in order it succeeds.

--- a/src/relay/EndHold.ts
+++ b/src/relay/ConnectionEnd.ts
@@ -1,10 +1,14 @@
 import type { Socket } from 'node:net'
 
+/** Writes no byte, but fails on a connection that was reset. */
+const NO_BYTES = Buffer.alloc(0)
+
 /**
- * Delays the end of a connection while the answer on it is not read on. The HTTP library fails with an error that nobody
- * can catch, and so ends the process, when an answer whose end is that of the connection ends while it is paused.
+ * Examines and delays the end of a connection. A reset that comes together with the last bytes is told as an end in order,
+ * so that a truncated answer would look complete; a write tells them apart. And the HTTP library fails with an error that
+ * nobody can catch, and so ends the process, when an answer whose end is that of the connection ends while it is paused.
  */
-export class EndHold {
+export class ConnectionEnd {
   readonly #socket: Socket
   readonly #push: Socket['push']
   #isPaused = false
@@ -15,7 +19,9 @@
     this.#socket = socket
     this.#push = socket.push.bind(socket)
     socket.push = (chunk: unknown, encoding?: BufferEncoding) => {
-      if (chunk !== null || !this.#isPaused) return this.#push(chunk, encoding)
+      if (chunk !== null) return this.#push(chunk, encoding)
+      if (socket.writable) socket.write(NO_BYTES)
+      if (!this.#isPaused) return this.#push(chunk, encoding)
       this.#isEndHeld = true
       return false
     }
--- a/src/relay/FramingLimitClient.ts
+++ b/src/relay/FramingLimitClient.ts
@@ -1,11 +1,11 @@
 import { Client, type buildConnector, type Dispatcher } from 'undici'
 import { ConnectionGuard } from './ConnectionGuard.js'
-import { EndHold } from './EndHold.js'
+import { ConnectionEnd } from './ConnectionEnd.js'
 
 /** What watches the present connection of a client. */
 interface Watch {
   guard?: ConnectionGuard
-  hold?: EndHold
+  end?: ConnectionEnd
 }
 
 /**
@@ -37,7 +37,7 @@
     connect(options, (...result: Parameters<buildConnector.Callback>) => {
       const [error, socket] = result
       // A failed connection is reported with an error and without a socket.
-      if (error === null && socket !== null) Object.assign(current, { guard: new ConnectionGuard(socket, onIdleFailure), hold: new EndHold(socket) })
+      if (error === null && socket !== null) Object.assign(current, { guard: new ConnectionGuard(socket, onIdleFailure), end: new ConnectionEnd(socket) })
       callback(...result)
     })
   }
@@ -63,9 +63,9 @@
         }
         if (END_METHODS.has(name)) current.guard?.end()
         else if (PROGRESS_METHODS.has(name) || isFinalHead(name, parameters)) current.guard?.recordProgress()
-        const result: unknown = value.apply(target, name === 'onHeaders' ? holdUntilResumed(parameters, current.hold) : parameters)
+        const result: unknown = value.apply(target, name === 'onHeaders' ? endWhenResumed(parameters, current.end) : parameters)
         // The library's pool passes handlers that pause by this result.
-        if (result === false) current.hold?.pause()
+        if (result === false) current.end?.pause()
         return result
       }
     }
@@ -73,8 +73,8 @@
 }
 
 /** @returns the parameters of a head with a function that resumes its answer and lets the connection end */
-function holdUntilResumed ([status, headers, resume, ...rest]: unknown[], hold: EndHold | undefined): unknown[] {
-  return [status, headers, () => { hold === undefined ? (resume as () => void)() : hold.resume(resume as () => void) }, ...rest]
+function endWhenResumed ([status, headers, resume, ...rest]: unknown[], end: ConnectionEnd | undefined): unknown[] {
+  return [status, headers, () => { end === undefined ? (resume as () => void)() : end.resume(resume as () => void) }, ...rest]
 }
 
 /** Interim responses (status 1xx) can repeat without end, so they do not count as progress. */
