--- a/__tests__/soak/soak.test.ts
+++ b/__tests__/soak/soak.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { formatAnswers } from './raw/summarizeAnswers.js'
 import { runSoak } from './runSoak.js'
 
 const FAULT_MILLISECONDS = 5_000
@@ -11,6 +12,13 @@
   [3, 'an acknowledged first plan that two disks take away, since the group had only three voters yet']
 ]
 
+/** Seeds of the short runs in which answers are watched closely, and what each guards against. */
+const ANSWER_SEEDS: ReadonlyArray<readonly [number, string]> = [
+  [1, 'answers without a length that are repeated, cut or reset and look whole'],
+  [21, 'an upstream whose end ends an entry host while a guest reads slowly']
+]
+const RAW_GUESTS = 24
+
 // The hosts end with this process, also when it takes too long.
 process.once('SIGTERM', () => { process.exit(1) })
 
@@ -21,3 +29,12 @@
     assert.equal(breaches.length, 0, `logs in ${folder}\n${lines.join('\n')}`)
   })
 }
+
+for (const [seed, guardedFailure] of ANSWER_SEEDS) {
+  test(`no rule of requests and answers is broken while upstreams misbehave and entry hosts are stopped and killed (seed ${seed}: ${guardedFailure})`, { timeout: TIMEOUT_MILLISECONDS }, async (context) => {
+    const { seconds, faults, answers, breaches, lines, folder } = await runSoak({ seed, faultMilliseconds: FAULT_MILLISECONDS, entryHosts: 2, rawGuests: RAW_GUESTS })
+    context.diagnostic(`${seconds.toFixed(0)} s, ${faults} faults, ${formatAnswers(answers)}`)
+    assert.equal(breaches.length, 0, `logs in ${folder}\n${lines.join('\n')}`)
+    assert.ok(answers.successes > 0)
+  })
+}
