Measure the processor time of a scan, not the load of the machine

The scan of 4 MB of heads took 5,992 ms of wall time in a test run beside load 49 on 8 cores, where 5 s are allowed, and failed the test. The bound stays, on the processor time of the process, which the work of others doesn't raise.

--- a/__tests__/relay/HeadScanner.test.ts
+++ b/__tests__/relay/HeadScanner.test.ts
@@ -74,11 +74,12 @@
   // Guards against a body that takes the processor or the memory of a host.
   test(`a body of ${JSON.stringify(line)} takes linear time, and little of it is held back`, () => {
     const body = Buffer.concat([Buffer.from('HTTP/1.1 200 OK\r\n'), Buffer.alloc(LARGE_BYTES, line)])
-    const startedAt = performance.now()
+    const usage = process.cpuUsage()
     const { mostHeldBack } = scanInChunks(body, [CHUNK_BYTES])
     scanInChunks(body, [body.length])
     assert.ok(mostHeldBack <= MAXIMUM_HEAD_BYTES, `${mostHeldBack} bytes`)
-    assert.ok(performance.now() - startedAt < MOST_MILLISECONDS)
+    const { user, system } = process.cpuUsage(usage)
+    assert.ok((user + system) / 1_000 < MOST_MILLISECONDS, `${user + system} microseconds`)
   })
 }
 
