Count the time of a request from its arrival behind another one, too

A request that was sent behind another one got its whole time anew when its turn came, so that an upstream could be given time, and work, beyond the deadline of the guest.

Cause: the deadline is counted from the beginning of the handling, which waits for the answers before since requests are handled in turn.

The listener now hands the time of arrival over with the request.

--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -168,7 +168,7 @@
     return new HttpListener({
       address: settings.host.guestAddress,
       headerBytes: settings.limits.headerBytes,
-      handle: (request, response) => guestInterface.handle(request, response),
+      handle: (request, response, arrivedAt) => guestInterface.handle(request, response, arrivedAt),
       onMalformed: (status) => guestInterface.refuseMalformed(status)
     })
   }
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -98,7 +98,7 @@
     this.#listener = new HttpListener({
       address: options.settings().guestAddress,
       headerBytes: MAXIMUM_HEADER_BYTES,
-      handle: (request, response) => guestListener.handle(request, response),
+      handle: (request, response, arrivedAt) => guestListener.handle(request, response, arrivedAt),
       onMalformed: options.malformedAnswer
     })
   }
--- a/src/entry/GuestListener.ts
+++ b/src/entry/GuestListener.ts
@@ -57,9 +57,15 @@
     this.#options = options
   }
 
-  /** Handles one HTTP request. */
-  async handle (message: IncomingMessage, response: ServerResponse): Promise<void> {
-    const progress = { isPassedOn: false }
+  /**
+   * Handles one HTTP request.
+   *
+   * @param message - the request
+   * @param response - its response
+   * @param arrivedAt - when its head was read, in milliseconds on the clock of `performance.now()`; its deadline counts from then
+   */
+  async handle (message: IncomingMessage, response: ServerResponse, arrivedAt = performance.now()): Promise<void> {
+    const progress = { arrivedAt, isPassedOn: false }
     try {
       await this.#serve(message, response, progress)
     } catch (error) {
@@ -68,12 +74,12 @@
     }
   }
 
-  async #serve (message: IncomingMessage, response: ServerResponse, progress: { isPassedOn: boolean }): Promise<void> {
+  async #serve (message: IncomingMessage, response: ServerResponse, progress: { arrivedAt: number, isPassedOn: boolean }): Promise<void> {
     const cancellation = new AbortController()
     response.once('close', () => { if (!response.writableFinished) cancellation.abort() })
     const memory = new BodyMemory(this.#options.bodyBytes)
     response.once('close', () => { memory.release() })
-    const request = await this.#readRequest(message, cancellation.signal, memory)
+    const request = await this.#readRequest(message, progress.arrivedAt, cancellation.signal, memory)
     if (typeof request === 'string') return await this.#refuse(message, response, request)
     if (await hasCallerDisconnected(message)) return this.#discardRequest(response, request)
     progress.isPassedOn = true
@@ -105,9 +111,8 @@
     response.destroy()
   }
 
-  async #readRequest (message: IncomingMessage, cancelled: AbortSignal, memory: BodyMemory): Promise<EntryRequest | RefusalReason> {
+  async #readRequest (message: IncomingMessage, arrivedAt: number, cancelled: AbortSignal, memory: BodyMemory): Promise<EntryRequest | RefusalReason> {
     const { known, readFields, stopWindow } = this.#options
-    const arrivedAt = performance.now()
     const { plan, routes } = known
     if (plan === undefined || routes === undefined) return RefusalReason.NoPlan
     if (countHeadBytes(message) > plan.limits.headerBytes) return RefusalReason.HeadersTooLarge
--- a/src/guest/GuestInterface.ts
+++ b/src/guest/GuestInterface.ts
@@ -62,9 +62,15 @@
     this.#options = options
   }
 
-  /** Handles one HTTP request. */
-  async handle (message: IncomingMessage, response: ServerResponse): Promise<void> {
-    const progress = { isPassedOn: false }
+  /**
+   * Handles one HTTP request.
+   *
+   * @param message - the request
+   * @param response - its response
+   * @param arrivedAt - when its head was read, in milliseconds on the clock of `performance.now()`; its deadline counts from then
+   */
+  async handle (message: IncomingMessage, response: ServerResponse, arrivedAt = performance.now()): Promise<void> {
+    const progress = { arrivedAt, isPassedOn: false }
     try {
       const url = new URL(message.url ?? '', 'http://host')
       if (url.pathname === LOOKUP_PATH) await this.#answerLookup(message, url, response)
@@ -117,14 +123,14 @@
     else this.#sendJson(response, 200, answer)
   }
 
-  async #serve (message: IncomingMessage, response: ServerResponse, progress: { isPassedOn: boolean }): Promise<void> {
+  async #serve (message: IncomingMessage, response: ServerResponse, progress: { arrivedAt: number, isPassedOn: boolean }): Promise<void> {
     const cancellation = new AbortController()
     response.once('close', () => { if (!response.writableEnded) cancellation.abort() })
     const { limits, timings, stopWindow } = this.#options
     const sheet = this.#options.currentSheet()
     const memory = new BodyMemory(this.#bodyBytes)
     response.once('close', () => { memory.release() })
-    const request = await readGuestRequest(message, { sheet, limits, timings, stopWindow, memory, cancelled: cancellation.signal })
+    const request = await readGuestRequest(message, { arrivedAt: progress.arrivedAt, sheet, limits, timings, stopWindow, memory, cancelled: cancellation.signal })
     if (typeof request === 'string') return await this.#refuse(message, response, request)
     if (await hasCallerDisconnected(message)) return this.#discardRequest(response, request.id)
     progress.isPassedOn = true
--- a/src/guest/readGuestRequest.ts
+++ b/src/guest/readGuestRequest.ts
@@ -23,6 +23,8 @@
 
 /** Input for reading a guest's request beside the message itself. */
 export interface GuestRequestContext {
+  /** When the head of the request was read, in milliseconds on the clock of `performance.now()`. */
+  arrivedAt: number
   sheet: Sheet | undefined
   limits: LimitSettings
   timings: TimingSettings
@@ -39,7 +41,6 @@
  * @returns the request, or the reason why it is refused
  */
 export async function readGuestRequest (message: IncomingMessage, context: GuestRequestContext): Promise<RelayedRequest | RefusalReason> {
-  const startedAt = performance.now()
   const target = parseTarget(message.url ?? '')
   if (target === undefined) return RefusalReason.UnknownPath
   if (context.sheet === undefined) return RefusalReason.NoSheet
@@ -51,7 +52,7 @@
   if (deadlineMilliseconds === undefined) return RefusalReason.BadDeadline
   const key = message.headers['idempotency-key']
   if (Array.isArray(key) || (key?.length ?? 0) > MAXIMUM_KEY_CHARACTERS) return RefusalReason.BadRequest
-  const deadline = startedAt + deadlineMilliseconds - Math.min(MAXIMUM_ANSWER_TRANSIT_MILLISECONDS, deadlineMilliseconds * ANSWER_TRANSIT_FRACTION)
+  const deadline = context.arrivedAt + deadlineMilliseconds - Math.min(MAXIMUM_ANSWER_TRANSIT_MILLISECONDS, deadlineMilliseconds * ANSWER_TRANSIT_FRACTION)
   const body = await readBodyUntil(message, context.limits.requestBodyBytes, deadline, context.stopWindow, context.memory)
   if (!Buffer.isBuffer(body)) return body
   const requestClass = IDEMPOTENT_METHODS.has(method) ? RequestClass.Idempotent : serviceEntry.requestClass
--- a/src/transport/HttpListener.ts
+++ b/src/transport/HttpListener.ts
@@ -24,7 +24,7 @@
   /** Maximum size of the headers of a request, in bytes. */
   headerBytes: number
   /** Handles one request; it must end the response. */
-  handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>
+  handle: (request: IncomingMessage, response: ServerResponse, arrivedAt: number) => Promise<void>
   /** Creates the raw answer, with this status, to bytes that are not a valid HTTP request; `reason` is the error code of Node.js. */
   onMalformed: (status: number, reason: string) => string
 }
@@ -148,6 +148,7 @@
   }
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const arrivedAt = performance.now()
     if (!await this.#turns.take(request, response)) {
       request.resume()
       return
@@ -155,7 +156,7 @@
     this.#responses.add(response)
     if (this.#isClosing) askToDisconnect(response)
     response.once('close', () => { this.#responses.delete(response) })
-    await this.#options.handle(request, response)
+    await this.#options.handle(request, response, arrivedAt)
   }
 
   async #refuseMalformed (error: NodeJS.ErrnoException, socket: Duplex): Promise<void> {
