Count and log the requests that a listener drops

What operators saw: a request that was read behind another one and dropped, because the answer before it closed the connection, left no trace; neither did unreadable bytes at an entry host, nor the error of a handler that rejected, whose connection was just destroyed.

Listeners now report such faults through a callback that their owners give; in both forms it counts `listener.FAULT` and writes a log line with the cause.

--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import {
-  Counters, createMetricSink, declareCounters, GuestInterface, HostTransport, HttpListener, LossSignals, MemberState, OperatorInterface, OwnerChooser, Step, StopWindow,
+  Counters, createMetricSink, declareCounters, GuestInterface, HostTransport, HttpListener, LossSignals, MemberState, OperatorInterface, OwnerChooser, recordListenerFault, Step, StopWindow,
   type ChoiceExplanation, type ClosableMetricSink, type HostIdentity, type Log, type Member, type Membership, type Settings, type Sheet
 } from '../hibiscusrelay.js'
 import { createLookup } from './createLookup.js'
@@ -50,7 +50,7 @@
     this.#metricSink = settings.metricsAddress === undefined ? undefined : createMetricSink(settings.metricsAddress, { host: settings.host.name, domain: settings.host.domain })
     this.counters = new Counters(this.#metricSink)
     declareCounters(this.counters)
-    this.#transport = createTransport(settings, this.counters)
+    this.#transport = createTransport(settings, this.counters, log)
     this.membership = createMembership(settings, this.#transport, this.counters, log)
     this.sheets = new HostSheets({ settings, transport: this.#transport, otherMembers: () => this.#listOtherMembers(), counters: this.counters, log })
     this.#ownerChooser = new OwnerChooser({ self: settings.host, members: () => this.membership.members(), currentSheet: () => this.sheets.getCurrentSheet(), random: Math.random })
@@ -169,7 +169,8 @@
       address: settings.host.guestAddress,
       headerBytes: settings.limits.headerBytes,
       handle: (request, response) => guestInterface.handle(request, response),
-      onMalformed: (status) => guestInterface.refuseMalformed(status)
+      onMalformed: (status) => guestInterface.refuseMalformed(status),
+      onFault: recordListenerFault({ counters, log: this.#log }, 'guest')
     })
   }
 
@@ -180,7 +181,8 @@
       address: settings.operatorAddress,
       headerBytes: settings.limits.headerBytes,
       handle: (request, response) => operatorInterface.handle(request, response),
-      onMalformed: (status) => `HTTP/1.1 ${status} Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`
+      onMalformed: (status) => `HTTP/1.1 ${status} Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
+      onFault: recordListenerFault({ counters, log: this.#log }, 'operator')
     })
   }
 
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -13,6 +13,7 @@
 import type { LatencyBuckets } from '../observe/LatencyBuckets.js'
 import type { Log } from '../observe/Log.js'
 import { recordIdleFailure } from '../observe/recordIdleFailure.js'
+import { recordListenerFault } from '../observe/recordListenerFault.js'
 import type { RetryBound } from '../placement/RetryShare.js'
 import type { EntryHost } from '../registry/EntryHost.js'
 import { isGone } from '../registry/UpstreamRecord.js'
@@ -99,7 +100,8 @@
       address: options.settings().guestAddress,
       headerBytes: MAXIMUM_HEADER_BYTES,
       handle: (request, response) => guestListener.handle(request, response),
-      onMalformed: options.malformedAnswer
+      onMalformed: options.malformedAnswer,
+      onFault: recordListenerFault(options, 'guest')
     })
   }
 
--- a/src/hibiscusrelay.ts
+++ b/src/hibiscusrelay.ts
@@ -199,6 +199,7 @@
 export { renderMetrics } from './observe/renderMetrics.js'
 export { createLog } from './observe/createLog.js'
 export { createMetricSink, type ClosableMetricSink } from './observe/createMetricSink.js'
+export { recordListenerFault } from './observe/recordListenerFault.js'
 export { declareCounters, outcomeCounter, refusalCounter, retryCounter } from './observe/declareCounters.js'
 export type { Log, LogFields } from './observe/Log.js'
 
--- a/src/observe/declareCounters.ts
+++ b/src/observe/declareCounters.ts
@@ -1,3 +1,4 @@
+import { ListenerFault } from '../transport/ListenerFault.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { RepeatedAnswer } from '../relay/RepeatedAnswer.js'
 import { RetryReason } from '../types/RetryReason.js'
@@ -25,6 +26,7 @@
   for (const reason of Object.values(RefusalReason)) counters.declare(refusalCounter(reason))
   for (const reason of Object.values(RetryReason)) counters.declare(retryCounter(reason))
   for (const found of Object.values(RepeatedAnswer)) counters.declare(repeatedAnswerCounter(found))
+  for (const fault of Object.values(ListenerFault)) counters.declare(listenerFaultCounter(fault))
   counters.declare(RETRY_BUDGET_COUNTER)
   counters.declare(IDLE_CONNECTION_COUNTER)
   for (const counter of [END_CONFIRMED_COUNTER, END_UNCONFIRMED_COUNTER, UNFRAMABLE_COUNTER]) counters.declare(counter)
@@ -46,6 +48,11 @@
   return `repeated-answer.${found}`
 }
 
+/** @returns the name of the counter of a fault at a listener */
+export function listenerFaultCounter (fault: ListenerFault): string {
+  return `listener.${fault}`
+}
+
 /** @returns the name of the counter of an outcome */
 export function outcomeCounter (outcome: Outcome): string {
   return `outcome.${outcome}`
--- a/src/transport/HostTransport.ts
+++ b/src/transport/HostTransport.ts
@@ -1,7 +1,7 @@
 import type { Counters } from '../observe/Counters.js'
 import { PeerConnections } from '../relay/PeerConnections.js'
 import type { CallPeer } from './CallPeer.js'
-import { HttpListener } from './HttpListener.js'
+import { HttpListener, type HttpListenerOptions } from './HttpListener.js'
 import { PeerClient } from './PeerClient.js'
 import type { RegisterPeerHandler } from './PeerHandler.js'
 import { PeerServer } from './PeerServer.js'
@@ -19,6 +19,8 @@
   peerKey: string
   /** Maps a peer's address to the address to connect to. */
   dialAddress: (address: string) => string
+  /** Called for each fault at the listener. */
+  onFault?: HttpListenerOptions['onFault']
 }
 
 /** Client, server and listener of this host for calls between hosts. */
@@ -35,7 +37,7 @@
    * @param options - address, key and mapping of addresses
    * @param counters - counters of refused calls
    */
-  constructor ({ peerAddress, peerKey, dialAddress }: HostTransportOptions, counters: Counters) {
+  constructor ({ peerAddress, peerKey, dialAddress, onFault }: HostTransportOptions, counters: Counters) {
     this.signature = new PeerSignature(peerKey)
     this.connections = new PeerConnections(dialAddress)
     this.server = new PeerServer(this.signature, counters)
@@ -44,7 +46,8 @@
       address: peerAddress,
       headerBytes: MAXIMUM_HEADER_BYTES,
       handle: (request, response) => this.server.handle(request, response),
-      onMalformed: (status) => `HTTP/1.1 ${status} Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`
+      onMalformed: (status) => `HTTP/1.1 ${status} Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
+      onFault
     })
     this.callPeer = (address, method, parameters, timeoutMilliseconds) => this.#client.call(address, method, parameters, timeoutMilliseconds)
     this.registerHandler = (method, handler) => { this.server.register(method, handler) }
--- a/src/transport/HttpListener.ts
+++ b/src/transport/HttpListener.ts
@@ -10,6 +10,7 @@
 import { waitUntil } from '../utils/waitUntil.js'
 import { closeAfterCaller } from './closeAfterCaller.js'
 import { ConnectionTurns } from './ConnectionTurns.js'
+import { ListenerFault } from './ListenerFault.js'
 
 const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 30_000
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000
@@ -17,6 +18,15 @@
 /** Connections that the kernel accepts for a listener of Node.js while the process is late. */
 const ACCEPT_QUEUE_LENGTH = 511
 
+/** Details of a {@link ListenerFault}. */
+export interface ListenerFaultDetails {
+  /** IP address of the caller, undefined when its connection is gone. */
+  peer: string | undefined
+  /** Path and query of the request, undefined when none could be read. */
+  path?: string
+  cause: string
+}
+
 /** Settings of an {@link HttpListener}. */
 export interface HttpListenerOptions {
   /** Address to listen on, `ip:port`. */
@@ -27,6 +37,8 @@
   handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>
   /** Creates the raw answer, with this status, to bytes that are not a valid HTTP request; `reason` is the error code of Node.js. */
   onMalformed: (status: number, reason: string) => string
+  /** Called for each fault, for counters and logs. */
+  onFault?: (fault: ListenerFault, details: ListenerFaultDetails) => void
 }
 
 /** Listens for HTTP requests on one address, and can stop without aborting requests in flight. */
@@ -51,7 +63,7 @@
       headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
       requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
       noDelay: true
-    }, (request, response) => { this.#serve(request, response).catch(() => { response.destroy() }) })
+    }, (request, response) => { this.#serve(request, response).catch((error: unknown) => { this.#breakOff(request, response, error) }) })
     this.#server.on('connection', (socket) => {
       this.#accepted += 1
       // The HTTP library calls this method behind the last answer.
@@ -59,7 +71,10 @@
     })
     this.#server.on('timeout', (socket) => { this.#closeIfIdle(socket).catch(() => { socket.destroy() }) })
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      this.#refuseMalformed(error, socket).catch(() => { socket.destroy() })
+      this.#refuseMalformed(error, socket).catch((cause: unknown) => {
+        this.#reportFault(ListenerFault.HandlerFailed, socket, { cause: String(cause) })
+        socket.destroy()
+      })
     })
   }
 
@@ -149,6 +164,7 @@
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (!await this.#turns.take(request, response)) {
+      this.#reportFault(ListenerFault.RequestDropped, request.socket, { path: request.url, cause: this.#leaving.has(request.socket) ? 'connection-closing' : 'caller-left' })
       request.resume()
       return
     }
@@ -158,6 +174,15 @@
     await this.#options.handle(request, response)
   }
 
+  #breakOff (request: IncomingMessage, response: ServerResponse, error: unknown): void {
+    this.#reportFault(ListenerFault.HandlerFailed, request.socket, { path: request.url, cause: String(error) })
+    response.destroy()
+  }
+
+  #reportFault (fault: ListenerFault, socket: Duplex, details: Omit<ListenerFaultDetails, 'peer'>): void {
+    this.#options.onFault?.(fault, { peer: (socket as Socket).remoteAddress, ...details })
+  }
+
   async #refuseMalformed (error: NodeJS.ErrnoException, socket: Duplex): Promise<void> {
     if (!isParserError(error)) {
       socket.destroy()
@@ -171,6 +196,7 @@
     // The parser reports each further segment, too.
     if (this.#malformed.has(socket) || !socket.writable) return
     this.#malformed.add(socket)
+    this.#reportFault(ListenerFault.Malformed, socket, { cause: error.code ?? 'malformed' })
     if (!await this.#turns.waitForLast(socket) || !socket.writable) return
     const status = error.code === 'HPE_HEADER_OVERFLOW' ? 431 : error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400
     socket.write(this.#options.onMalformed(status, error.code ?? 'malformed'))
