--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -14,8 +14,9 @@
 /** Buffer of an answer that is passed on while it arrives: what its receiver does not read stays at the sender. */
 const STREAM_BUFFER_BYTES = 16_384
 /**
- * Largest body that a guest gets delimited by the end of its connection. The kernel takes this much in one write, so that a host
- * that is killed has passed on all of it or nothing; its connections end in order, and a part of the body would look whole.
+ * Largest body that a guest gets delimited by the end of its connection. Unless answers before it are still unread, the kernel
+ * takes this much in one write, so that a host that is killed has passed on all of it or nothing: its connections end in order,
+ * and a part of the body would look whole.
  */
 const MAXIMUM_UNDELIMITED_BYTES = 32_768
 const ANSWER_DISCARDED = 'the rest of the answer is not needed'
