--- a/__tests__/platform/KeptGuest.ts
+++ b/__tests__/platform/KeptGuest.ts
@@ -15,6 +15,23 @@
   endedAt: number
 }
 
+/** A request whose last byte was handed over. */
+interface Sent {
+  id: string
+  at: number
+}
+
+/** A connection of a guest. */
+interface Connection {
+  socket: Socket
+  closed: Promise<void>
+  /** Bytes that belong to no measured answer yet. */
+  buffer: Buffer
+  end: string
+  /** Called when something has arrived, or the connection has closed. */
+  wake: () => void
+}
+
 /** Settings of a {@link KeptGuest}. */
 export interface KeptGuestOptions {
   name: string
@@ -51,44 +68,57 @@
   }
 
   async #useConnection (): Promise<void> {
+    const connection = this.#open()
+    const { socket, closed } = connection
+    await new Promise<void>((resolve) => { socket.once('connect', resolve).once('close', () => { resolve() }) })
+    let isKept = true
+    while (isKept && !this.#isEnded && socket.writable && !socket.readableEnded) {
+      const sent: Sent[] = []
+      // Some send a request behind another one, before its answer.
+      for (let count = this.#options.random() < 0.2 ? 2 : 1; count > 0; count -= 1) {
+        const id = await this.#send(socket)
+        if (id !== undefined) sent.push({ id, at: performance.now() })
+      }
+      isKept = sent.length > 0
+      for (const request of sent) isKept = await this.#receive(connection, request) && isKept
+    }
+    socket.end().resume()
+    await Promise.race([closed, sleep(2_000, undefined, { ref: false })])
+    socket.destroy()
+  }
+
+  #open (): Connection {
     const [host, port] = this.#options.address.split(':')
     const socket = connect({ host, port: Number(port) })
-    let buffer = Buffer.alloc(0)
-    let end = 'FIN'
-    let sent: { id: string, at: number } | undefined
-    let wake = (): void => {}
-    socket.on('error', ({ code }: NodeJS.ErrnoException) => { end = code ?? 'error' })
+    const closed = new Promise<void>((resolve) => { socket.once('close', () => { resolve() }) })
+    const connection: Connection = { socket, closed, buffer: Buffer.alloc(0), end: 'FIN', wake: () => {} }
+    socket.on('error', ({ code }: NodeJS.ErrnoException) => { connection.end = code ?? 'error' })
+    socket.once('close', () => { connection.wake() })
     socket.on('data', (chunk: Buffer) => {
-      buffer = Buffer.concat([buffer, chunk])
-      wake()
+      connection.buffer = Buffer.concat([connection.buffer, chunk])
+      connection.wake()
       if (!this.#options.isSlow) return
       socket.pause()
       setTimeout(() => { socket.resume() }, 5)
     })
-    const closed = new Promise<void>((resolve) => { socket.once('close', () => { resolve() }) })
-    socket.once('close', () => { wake() })
-    await new Promise<void>((resolve) => { socket.once('connect', resolve).once('close', () => { resolve() }) })
-    while (!this.#isEnded && socket.writable && !socket.readableEnded) {
-      sent = undefined
-      const id = await this.#send(socket)
-      if (id === undefined) break
-      sent = { id, at: performance.now() }
-      let length: number | undefined
-      while ((length = measureAnswer(buffer)) === undefined && !socket.closed) await new Promise<void>((resolve) => { wake = resolve })
-      if (length === undefined && end === 'FIN') length = measureUnframedAnswer(buffer)
-      if (length === undefined) {
-        this.lost.push({ id, receivedBytes: buffer.length, end, sentAt: sent.at, endedAt: performance.now() })
-        break
-      }
-      const head = buffer.toString('latin1', 0, buffer.indexOf('\r\n\r\n'))
-      const status = head.slice(9, 12)
-      this.answeredByStatus.set(status, (this.answeredByStatus.get(status) ?? 0) + 1)
-      buffer = buffer.subarray(length)
-      if (/^connection: close$/im.test(head)) break
+    return connection
+  }
+
+  /** @returns whether the connection may be used further */
+  async #receive (connection: Connection, { id, at }: Sent): Promise<boolean> {
+    let length: number | undefined
+    while ((length = measureAnswer(connection.buffer)) === undefined && !connection.socket.closed) await new Promise<void>((resolve) => { connection.wake = resolve })
+    const { buffer, end } = connection
+    if (length === undefined && end === 'FIN') length = measureUnframedAnswer(buffer)
+    if (length === undefined) {
+      this.lost.push({ id, receivedBytes: buffer.length, end, sentAt: at, endedAt: performance.now() })
+      return false
     }
-    socket.end().resume()
-    await Promise.race([closed, sleep(2_000, undefined, { ref: false })])
-    socket.destroy()
+    const head = buffer.toString('latin1', 0, buffer.indexOf('\r\n\r\n'))
+    const status = head.slice(9, 12)
+    this.answeredByStatus.set(status, (this.answeredByStatus.get(status) ?? 0) + 1)
+    connection.buffer = buffer.subarray(length)
+    return !/^connection: close$/im.test(head)
   }
 
   /** @returns the identifier of a request whose last byte was handed over, undefined when the connection ended before */
