--- a/__tests__/transport/HttpListener.test.ts
+++ b/__tests__/transport/HttpListener.test.ts
@@ -1,54 +1,10 @@
 import assert from 'node:assert/strict'
 import { once } from 'node:events'
-import type { IncomingMessage, ServerResponse } from 'node:http'
-import { connect, type Socket } from 'node:net'
-import { test, type TestContext } from 'node:test'
+import { connect } from 'node:net'
+import { test } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { endAfterRequest } from '../../src/transport/endAfterRequest.js'
-import { HttpListener } from '../../src/transport/HttpListener.js'
-
-/** Each test file runs in a process of its own, and so has an address of its own. */
-const HOST = `127.82.${process.pid >> 8 & 255}.${process.pid & 255}`
-const PORT = 7_000
-const RUN_MILLISECONDS = 200
-const WAIT_MILLISECONDS = 3_000
-const MALFORMED_ANSWER = 'HTTP/1.1 400 Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n'
-const REQUEST = 'GET /first HTTP/1.1\r\nhost: h\r\n\r\n'
-
-/** A guest's connection, whose bytes are all read. */
-interface Guest {
-  socket: Socket
-  text: () => string
-  /** Resolves to the error that ended the connection, undefined when it ended in order. */
-  ended: Promise<string | undefined>
-}
-
-async function openListener (context: TestContext, handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>): Promise<HttpListener> {
-  const listener = new HttpListener({ address: `${HOST}:${PORT}`, headerBytes: 8_192, handle, onMalformed: () => MALFORMED_ANSWER })
-  await listener.open()
-  context.after(async () => {
-    listener.destroy()
-    await listener.closeWithin(0)
-  })
-  return listener
-}
-
-function openGuest (): Guest {
-  const socket = connect({ host: HOST, port: PORT })
-  let text = ''
-  let error: string | undefined
-  socket.on('data', (chunk) => { text += chunk.toString('latin1') })
-  socket.on('error', ({ code }: NodeJS.ErrnoException) => { error ??= code })
-  const ended = new Promise<string | undefined>((resolve) => { socket.once('close', () => { resolve(error) }) })
-  return { socket, text: () => text, ended: Promise.race([ended, sleep(WAIT_MILLISECONDS, 'still open', { ref: false })]) }
-}
-
-async function answerLate (request: IncomingMessage, response: ServerResponse): Promise<void> {
-  request.resume()
-  if (!request.complete) await once(request, 'end')
-  await sleep(RUN_MILLISECONDS)
-  response.end(`answer to ${request.url}`)
-}
+import { answerLate, HOST, MALFORMED_ANSWER, openGuest, openListener, PORT, REQUEST, RUN_MILLISECONDS, WAIT_MILLISECONDS, type Guest } from './openListener.js'
 
 // Guards against the refusal of later bytes in place of the answer to a request that is still being answered.
 test('bytes that are no request do not take the answer of the request before them', async (context) => {
@@ -111,23 +67,6 @@
   guest.socket.destroy()
 })
 
-// Guards against a stop that closes connections whose answer the process has not written yet.
-test('an answer that its guest reads slowly is not cut off when the listener closes', async (context) => {
-  const length = 24_000_000
-  const listener = await openListener(context, async (_request, response) => { response.end(Buffer.alloc(length, 'x')) })
-  const guest = openGuest()
-  guest.socket.write(REQUEST)
-  await once(guest.socket, 'data')
-  guest.socket.pause()
-  const closed = listener.closeWithin(WAIT_MILLISECONDS)
-  await sleep(RUN_MILLISECONDS)
-  guest.socket.resume()
-  assert.equal(await guest.ended, undefined)
-  assert.equal(guest.text().length - guest.text().indexOf('\r\n\r\n') - 4, length)
-  await closed
-})
-
-/** Sends bytes for a while and reads only afterwards, as a guest that writes its whole request first. */
 async function sendBeforeReading ({ socket }: Guest, head: string, piece: string, milliseconds: number): Promise<void> {
   socket.pause()
   socket.write(head)
@@ -212,41 +151,3 @@
   await sleep(RUN_MILLISECONDS)
   assert.ok(endedAt - leftAt < 2 * RUN_MILLISECONDS, `${endedAt - leftAt} ms`)
 })
-
-// Guards against connections that the kernel has accepted and that are reset because the process was late.
-test('connections that wait to be accepted are served when the listener closes', async (context) => {
-  const listener = await openListener(context, answerLate)
-  const guests = Array.from({ length: 20 }, () => openGuest())
-  for (const { socket } of guests) socket.write(REQUEST)
-  // The kernel accepts the connections while the process does nothing.
-  process.nextTick(() => {
-    const busyUntil = performance.now() + RUN_MILLISECONDS
-    while (performance.now() < busyUntil);
-    listener.closeWithin(WAIT_MILLISECONDS).catch(() => {})
-  })
-  assert.deepEqual(await Promise.all(guests.map(({ ended }) => ended)), guests.map(() => undefined))
-  for (const { text } of guests) assert.match(text(), /^HTTP\/1.1 200 /)
-})
-
-// Guards against closing a kept connection as idle while its next request waits to be read.
-test('a request that waits to be read on a kept connection is answered when the listener closes', async (context) => {
-  const kept: Guest[] = []
-  const listener = await openListener(context, async (request, response) => {
-    if (request.url === '/slow') {
-      request.socket.once('close', () => {
-        kept[0]!.socket.write(REQUEST.replace('first', 'second'))
-        const busyUntil = performance.now() + RUN_MILLISECONDS / 2
-        while (performance.now() < busyUntil);
-      })
-    }
-    await answerLate(request, response)
-  })
-  kept.push(openGuest())
-  kept[0]!.socket.write(REQUEST)
-  await once(kept[0]!.socket, 'data')
-  openGuest().socket.write(REQUEST.replace('first', 'slow'))
-  await sleep(RUN_MILLISECONDS / 2)
-  await listener.closeWithin(WAIT_MILLISECONDS)
-  assert.equal(await kept[0]!.ended, undefined)
-  assert.match(kept[0]!.text(), /answer to \/first[^]*connection: close[^]*answer to \/second$/i)
-})
