--- a/__tests__/soak/SoakSystem.ts
+++ b/__tests__/soak/SoakSystem.ts
@@ -80,7 +80,7 @@
     }
     this.hosts = [
       ...DOMAINS.map((domain, number) => create('control', number, domain)),
-      ...Array.from({ length: entryHostCount }, (_, number) => create('entry', number, DOMAINS[number]!))
+      ...Array.from({ length: entryHostCount }, (_, number) => create('entry', number, DOMAINS[number % DOMAINS.length]!))
     ]
   }
 
