Break off no run for the size of its answer

Cause: ended the exchange as soon as the buffer was full. The rest of such an answer is now read and discarded, and its guest gets 'answer-lost' when the upstream has ended it, or at the deadline.

Evidence: answerWithoutLength.test.ts on the code before: the upstream's connection had not stayed open until its answer ended ('actual: undefined', since the test was over by then).

--- a/__tests__/relay/answerWithoutLength.test.ts
+++ b/__tests__/relay/answerWithoutLength.test.ts
@@ -63,6 +63,20 @@
   assert.equal(runs, 1)
 })
 
+// Guards against a run that a host breaks off to give an answer of its own.
+test('an upstream is not cut off while it writes an answer without a length that does not fit into the buffer', async (context) => {
+  let isCutOff: boolean | undefined
+  const { answer } = await forwardThroughOwner(context, (socket) => {
+    socket.write(composeAnswer(LARGE))
+    setTimeout(() => {
+      isCutOff = socket.destroyed || socket.readableEnded
+      socket.end(LARGE)
+    }, KILL_MILLISECONDS)
+  }, { isAlive: async () => true })
+  assert.equal(isCutOff, false)
+  assert.equal(answer.outcome, Outcome.Unknown)
+})
+
 test('the answer to a one-time action whose end is not proved is neither passed on nor stored as the whole answer', async (context) => {
   const { answer } = await forwardThroughOwner(context, (socket) => { socket.end(composeAnswer(SMALL)) })
   assert.equal(answer.outcome, Outcome.Unknown)
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -3,7 +3,7 @@
 import type { Dispatcher } from 'undici'
 import { errorTexts } from '../errors/errorTexts.js'
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
-import { CLOSED_ERROR_CODES, UNSENT_ERROR_CODE } from './connectionErrorCodes.js'
+import { classifyExchangeError } from './classifyExchangeError.js'
 import type { ExchangeAnswer, ExchangeRequest } from './exchange.js'
 import { findCopy } from './findCopy.js'
 import { hasDelimitedBody } from './hasDelimitedBody.js'
@@ -46,6 +46,8 @@
   /** Number of these bytes that are taken from the budget. */
   #reservedBytes = 0
   #endsWithConnection = false
+  /** Whether an answer that ends with its connection does not fit into the buffer. */
+  #isTooLarge = false
   #stream: PassThrough | undefined
 
   /**
@@ -101,10 +103,11 @@
       this.#writeChunk(controller, chunk)
       return
     }
+    if (this.#isTooLarge) return
     this.#chunks.push(chunk)
     this.#bufferedBytes += chunk.length
     if (this.#tryReserve(chunk.length) && this.#bufferedBytes <= this.#request.answerBufferBytes) return
-    if (this.#endsWithConnection) this.#refuseUndelimited()
+    if (this.#endsWithConnection) this.#discardBody()
     else this.#beginStream(controller)
   }
 
@@ -117,16 +120,16 @@
     const body = Buffer.concat(this.#chunks, this.#bufferedBytes)
     // The library does no more for this exchange: what ends it from here on, ends it at once.
     this.#controller = undefined
-    const firstBody = this.#separate(body)
+    const firstBody = this.#isTooLarge ? body : this.#separate(body)
     if (firstBody === undefined) return this.#abort(ExchangeFailure.Broken, errorTexts.answerEndUnknown())
     if (!this.#endsWithConnection) return this.#finish(firstBody)
-    if (firstBody.length > MAXIMUM_UNDELIMITED_BYTES) return this.#refuseUndelimited()
+    if (this.#isTooLarge || firstBody.length > MAXIMUM_UNDELIMITED_BYTES) return this.#abort(ExchangeFailure.Undelimited, errorTexts.undelimitedAnswerTooLarge(MAXIMUM_UNDELIMITED_BYTES))
     this.#confirmEnd(firstBody).catch((error: unknown) => { this.#abort(ExchangeFailure.Broken, String(error)) })
   }
 
   onResponseError (_controller: Dispatcher.DispatchController | null, cause: Error): void {
     if (this.#hasEnded) return
-    const failure = this.#failure ?? classifyError(cause, this.#isWritten)
+    const failure = this.#failure ?? classifyExchangeError(cause, this.#isWritten)
     this.#markEnded(failure)
     const error = new ExchangeError(failure, this.#request.peer, this.#isWritten && failure !== ExchangeFailure.Stale, cause)
     this.#stream?.destroy(error)
@@ -185,8 +188,12 @@
     return separated.found === RepeatedAnswer.Ambiguous ? undefined : separated.body
   }
 
-  #refuseUndelimited (): void {
-    this.#abort(ExchangeFailure.Undelimited, errorTexts.undelimitedAnswerTooLarge(MAXIMUM_UNDELIMITED_BYTES))
+  /** Its upstream is at work until the end of the answer, so that its request is not broken off. */
+  #discardBody (): void {
+    this.#isTooLarge = true
+    this.#chunks.length = 0
+    this.#bufferedBytes = 0
+    this.#releaseReserved()
   }
 
   #tryReserve (bytes: number): boolean {
@@ -233,13 +240,6 @@
   }
 }
 
-function classifyError ({ code = '' }: NodeJS.ErrnoException, isWritten: boolean): ExchangeFailure {
-  if (code === UNSENT_ERROR_CODE) return ExchangeFailure.Stale
-  if (isWritten) return ExchangeFailure.Broken
-  // The host itself closed the connections, as the upstream is not in use any more.
-  return CLOSED_ERROR_CODES.has(code) ? ExchangeFailure.Forbidden : ExchangeFailure.Unreachable
-}
-
 function listHeaders (headers: IncomingHttpHeaders): HeaderField[] {
   return Object.entries(headers).flatMap(([name, value]) => {
     if (Array.isArray(value)) return value.map((each) => ({ name, value: each }))
