--- a/review/standins-2/Deployment.mjs
+++ b/review/standins-2/Deployment.mjs
@@ -52,6 +52,12 @@
     this.#machines.set(machine.name, { ...machine, ip, folder, child: undefined, bootstrap: true })
   }
 
+  /** Adds a machine at an address that no other machine has had; its seeds are those of the operator's list at that time. */
+  add (machine, seeds) {
+    this.#addMachine({ ...machine, seeds }, `${this.network}.${this.#machines.size + 1}`)
+    this.#machines.get(machine.name).bootstrap = false
+  }
+
   address (name, purpose) {
     return `${this.#machines.get(name).ip}:${PORTS[purpose]}`
   }
@@ -110,7 +116,7 @@
     rmSync(this.#folder, { recursive: true, force: true })
   }
 
-  #describe ({ name, role, ip, zone, folder, bootstrap }) {
+  #describe ({ name, role, ip, zone, folder, bootstrap, seeds = this.seeds }) {
     const isControl = role === 'control'
     const listenAddresses = isControl
       ? { control: `${ip}:${PORTS.control}`, directory: `${ip}:${PORTS.directory}` }
@@ -124,7 +130,7 @@
       data_dir: isControl ? join(folder, 'data') : undefined,
       internal_port_range: [PORTS.peer, PORTS.peer + 15],
       listen_addrs: listenAddresses,
-      seeds: this.seeds,
+      seeds,
       bootstrap,
       fault_tolerance: { machines: this.toleratedMachines, zones: 1, regions: 1 },
       heartbeat_s: 1.5,
--- a/review/standins-2/Link.mjs
+++ b/review/standins-2/Link.mjs
@@ -7,20 +7,25 @@
 export class Link {
   #target
   #refuses
+  #endDelay
   #host
   #port
   #server
   #isCut = false
+  #isHolding = false
   #held = []
   #sockets = new Set()
 
   /**
    * @param target - `ip:port` to which connections are passed on
    * @param refuses - whether connections that are opened while the link is cut are refused; otherwise they hang
+   * @param endDelayMilliseconds - time by which the end of a connection comes behind its last bytes: a sender that was cut off sends the
+   *   next segment when the first one is confirmed, one round trip later
    */
-  constructor (target, { refuses = true } = {}) {
+  constructor (target, { refuses = true, endDelayMilliseconds = 0 } = {}) {
     this.#target = target
     this.#refuses = refuses
+    this.#endDelay = endDelayMilliseconds
   }
 
   /**
@@ -40,7 +45,14 @@
     if (this.#refuses) this.#server.close()
   }
 
+  /** Like {@link Link.cut}, but connections can still be opened: only what is sent on them is held. */
+  hold () {
+    this.#isCut = true
+    this.#isHolding = true
+  }
+
   async join () {
+    this.#isHolding = false
     this.#isCut = false
     if (this.#refuses) await this.#listen()
     for (const deliver of this.#held.splice(0)) deliver()
@@ -61,7 +73,7 @@
   }
 
   #pass (near) {
-    if (this.#isCut) {
+    if (this.#isCut && !this.#isHolding) {
       this.#sockets.add(near)
       near.on('error', () => {}).resume()
       return
@@ -79,7 +91,7 @@
       else action()
     }
     from.on('data', (bytes) => { deliver(() => { if (to.writable) to.write(bytes) }) })
-    from.on('end', () => { deliver(() => { to.end() }) })
+    from.on('end', () => { deliver(() => { setTimeout(() => { to.end() }, this.#endDelay) }) })
     from.on('error', () => { deliver(() => { to.resetAndDestroy() }) })
     from.on('close', () => { this.#sockets.delete(from) })
   }
--- a/review/standins-2/server.mjs
+++ b/review/standins-2/server.mjs
@@ -7,8 +7,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { post } from './httpCall.mjs'
 
-const { id, service, zone, slots, heartbeatSeconds, controlAddresses, announcedAddress, listenAddress, pauseMilliseconds, body } = JSON.parse(process.argv[2])
-const WORK_MILLISECONDS = 20
+const { id, service, zone, slots, heartbeatSeconds, controlAddresses, announcedAddress, listenAddress, pauseMilliseconds, workMilliseconds = 20, body } = JSON.parse(process.argv[2])
 const born = Date.now()
 const [host, port] = listenAddress.split(':')
 let running = 0
@@ -40,7 +39,7 @@
   const headers = { 'attempt-id': attempt, 'response-signature': `3e1b.07.5a2.${body.length}.0.${attempt}`, 'content-type': 'text/plain', ...load() }
   if (isLong) await answerLong(response, headers, hasLength, attempt)
   else {
-    await sleep(WORK_MILLISECONDS)
+    await sleep(workMilliseconds)
     response.writeHead(200, { ...headers, 'content-length': body.length }).end(body)
   }
   running -= 1
