--- a/review/standins-2/server.mjs
+++ b/review/standins-2/server.mjs
@@ -7,7 +7,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { post } from './httpCall.mjs'
 
-const { id, service, zone, slots, heartbeatSeconds, controlAddresses, announcedAddress, listenAddress, pauseMilliseconds, workMilliseconds = 20, body } = JSON.parse(process.argv[2])
+const { id, service, zone, slots, heartbeatSeconds, controlAddresses, announcedAddress, listenAddress, pauseMilliseconds, workMilliseconds = 20, coldSeconds = 0, body } = JSON.parse(process.argv[2])
 const born = Date.now()
 const [host, port] = listenAddress.split(':')
 let running = 0
@@ -61,7 +61,7 @@
 /** A 2xx within a second acknowledges a heartbeat; otherwise the next node is called. */
 async function announce () {
   for (let attempt = 0; ; attempt += 1) {
-    const document = { service, address: announcedAddress, zone, version: 'v1', slots, state: 'ready', cold_remaining_s: 0, sequence: ++sequence, born }
+    const document = { service, address: announcedAddress, zone, version: 'v1', slots, state: 'ready', cold_remaining_s: Math.max(0, coldSeconds - (Date.now() - born) / 1000), sequence: ++sequence, born }
     const { status, cause } = await post(controlAddresses[attempt % controlAddresses.length], `/instances/${id}/heartbeat`, document)
     if (status !== 200 || sequence === 1) tell('heartbeat-answered', { status, cause, sequence })
     if (status === 200) return
