--- a/review/standins-2/Deployment.mjs
+++ b/review/standins-2/Deployment.mjs
@@ -2,6 +2,7 @@
 import { mkdtempSync, readFileSync, rmSync, writeFileSync, mkdirSync } from 'node:fs'
 import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
+import { createInterface } from 'node:readline'
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
@@ -80,13 +81,25 @@
     machine.child = child
     machine.ended = new Promise((resolve) => { child.once('exit', (code, signal) => { resolve(`${code ?? signal}`) }) })
     this.#record.write('process-started', { machine: name, pid: child.pid })
-    child.stdout.resume()
-    const log = process.env.REVIEW_LOG === undefined ? undefined : (text) => process.stderr.write(`${name} ${text}`)
-    if (log !== undefined) child.stdout.on('data', log)
+    createInterface({ input: child.stdout }).on('line', (line) => { machine.onLogLine?.(line) })
     child.stderr.on('data', (text) => { this.#record.write('process-error', { machine: name, text: String(text).slice(0, 400) }) })
     machine.ended.then((end) => { this.#record.write('process-ended', { machine: name, end }) })
   }
 
+  /** Empties the disk of a machine whose process has ended. */
+  loseDisk (name) {
+    const { folder } = this.#machines.get(name)
+    rmSync(join(folder, 'data'), { recursive: true, force: true })
+    mkdirSync(join(folder, 'data'))
+    this.#record.write('disk-lost', { machine: name })
+  }
+
+  /** Resolves when a process logs an event; to be called after its start. */
+  logged (name, event) {
+    const machine = this.#machines.get(name)
+    return new Promise((resolve) => { machine.onLogLine = (line) => { if (line.includes(`event=${event} `)) resolve() } })
+  }
+
   startAll () {
     for (const name of this.#machines.keys()) this.start(name)
   }
