--- a/review/standins-2/server.mjs
+++ b/review/standins-2/server.mjs
@@ -3,6 +3,7 @@
  * the process has no length and ends with its connection, all others state their length. Settings are JSON in the first argument. What it
  * does is told on standard output, one JSON line each.
  */
+import { once } from 'node:events'
 import { createServer } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { post } from './httpCall.mjs'
@@ -30,7 +31,7 @@
     response.writeHead(421, { 'attempt-id': attempt, 'not-executed': '1', 'content-length': 0, ...load() }).end()
     return
   }
-  for await (const chunk of request) void chunk
+  await once(request.resume(), 'end')
   running += 1
   const isLong = request.url.startsWith('/long/')
   const hasLength = !isLong || longAnswers > 0
