--- a/review/standins-2/SilentLink.mjs
+++ b/review/standins-2/SilentLink.mjs
@@ -4,7 +4,7 @@
 import { fileURLToPath } from 'node:url'
 
 /** More than the kernel keeps waiting for the link's process. */
-const FILLING_CONNECTIONS = 4
+const FILLING_CONNECTIONS = 40
 const CHECK_MILLISECONDS = 200
 
 /**
--- a/review/standins-2/linkProcess.mjs
+++ b/review/standins-2/linkProcess.mjs
@@ -1,8 +1,8 @@
 /** Passes connections on from one address to another. Arguments: both as `ip:port`. */
 import { connect, createServer } from 'node:net'
 
-/** Connections that may wait for this process; the kernel leaves further ones unanswered while it is stopped. */
-const WAITING_CONNECTIONS = 1
+/** Connections that may wait for this process, more than come at once; the kernel leaves further ones unanswered while it is stopped. */
+const WAITING_CONNECTIONS = 32
 const [from, to] = process.argv.slice(2).map((address) => {
   const [host, port] = address.split(':')
   return { host, port: Number(port) }
--- a/review/standins-2/server.mjs
+++ b/review/standins-2/server.mjs
@@ -1,14 +1,14 @@
 /**
  * A server process. A request under `/long/` gets the first half of its body at once and the rest after a while; the first such answer of
- * the process has no length and ends with its connection, all others state their length. Settings are JSON in the first argument. What it
- * does is told on standard output, one JSON line each.
+ * the process has no length and ends with its connection, all others state their length, unless the settings say that none does. Settings
+ * are JSON in the first argument. What it does is told on standard output, one JSON line each.
  */
 import { once } from 'node:events'
 import { createServer } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { post } from './httpCall.mjs'
 
-const { id, service, zone, slots, heartbeatSeconds, controlAddresses, announcedAddress, listenAddress, pauseMilliseconds, workMilliseconds = 20, coldSeconds = 0, body } = JSON.parse(process.argv[2])
+const { id, service, zone, slots, heartbeatSeconds, controlAddresses, announcedAddress, listenAddress, pauseMilliseconds, workMilliseconds = 20, coldSeconds = 0, statesLength = true, body } = JSON.parse(process.argv[2])
 const born = Date.now()
 const [host, port] = listenAddress.split(':')
 let running = 0
@@ -41,16 +41,20 @@
   if (isLong) await answerLong(response, headers, hasLength, attempt)
   else {
     await sleep(workMilliseconds)
-    response.writeHead(200, { ...headers, 'content-length': body.length }).end(body)
+    if (!statesLength) endWithConnection(response)
+    response.writeHead(200, statesLength ? { ...headers, 'content-length': body.length } : headers).end(body)
+    tell('answer-written', { attempt })
   }
   running -= 1
 }
 
+function endWithConnection (response) {
+  response.useChunkedEncodingByDefault = false
+  response.shouldKeepAlive = false
+}
+
 async function answerLong (response, headers, hasLength, attempt) {
-  if (!hasLength) {
-    response.useChunkedEncodingByDefault = false
-    response.shouldKeepAlive = false
-  }
+  if (!hasLength) endWithConnection(response)
   response.writeHead(200, hasLength ? { ...headers, 'content-length': body.length } : headers)
   response.write(body.slice(0, body.length / 2))
   tell('answer-half-written', { attempt, hasLength })
