--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -52,6 +52,8 @@
   /** Region of each failure domain. */
   regions: Map<string, string>
   retryBound: RetryBound
+  /** Time within which each host stops to serve withdrawn keys; by default there is no such bound. */
+  revocationMilliseconds?: number | undefined
   /** Time from the stop signal to the exit of the process. */
   stopMilliseconds: number
 }
@@ -97,7 +99,7 @@
     this.#follower = this.#createFollower()
     this.#crashSharer = this.#createCrashSharer()
     this.#crashDetector = new CrashDetector({ runs: this.#runs, crashes: this.#crashes, known: this.#known, onChange: () => { this.#crashSharer.share() }, saveLosses: (revision) => this.#crashSharer.save(revision), log: options.log })
-    const guestListener = new GuestListener({ ...options, known: this.#known, relay: this.#createRelay(), stopWindow: this.#stopWindow, bodies: options.memory.bodies })
+    const guestListener = new GuestListener({ ...options, revocationMilliseconds: () => options.settings().revocationMilliseconds, known: this.#known, relay: this.#createRelay(), stopWindow: this.#stopWindow, bodies: options.memory.bodies })
     this.#listener = new HttpListener({
       address: options.settings().guestAddress,
       headerBytes: MAXIMUM_HEADER_BYTES,
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -23,6 +23,7 @@
 import { RequestClass } from '../types/RequestClass.js'
 import { RetryReason } from '../types/RetryReason.js'
 import { once } from '../utils/once.js'
+import { combineHomeRegions } from './combineHomeRegions.js'
 import { createAdmissionRequest } from './createAdmissionRequest.js'
 import type { EntryRequest } from './EntryRequest.js'
 import { listCandidates, type PlacementCandidate } from './listCandidates.js'
@@ -128,7 +129,7 @@
     const candidates = listCandidates(known, loads, {
       service: progress.service,
       placementKey: this.#getPlacementKey(request, progress),
-      homeRegions: request.route.homeRegions,
+      homeRegions: combineHomeRegions(request.route, request.access?.account),
       region: this.#options.region,
       excludedUpstreams: progress.excludedUpstreams,
       regionOf,
--- a/src/entry/EntryRequest.ts
+++ b/src/entry/EntryRequest.ts
@@ -1,4 +1,5 @@
 import type { PlanRoute } from '../plan/RoutingPlan.js'
+import type { RequestAccess } from './authorizeRequest.js'
 import type { HeaderField } from '../relay/RelayedRequest.js'
 
 /** A guest's request as the entry host received it. */
@@ -11,6 +12,8 @@
   headers: HeaderField[]
   body: Buffer
   route: PlanRoute
+  /** Present where the plan has client accounts. */
+  access?: RequestAccess
   /** The object that the request is about, if the guest named one. */
   objectKey: string | undefined
   /** When the guest stops waiting, on the clock of `performance.now()`. */
--- a/src/entry/GuestListener.ts
+++ b/src/entry/GuestListener.ts
@@ -18,6 +18,7 @@
 import { hasCallerDisconnected } from '../transport/hasCallerDisconnected.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { Step } from '../types/Step.js'
+import { authorizeRequest } from './authorizeRequest.js'
 import type { EntryRelay } from './EntryRelay.js'
 import type { EntryRequest } from './EntryRequest.js'
 
@@ -31,6 +32,8 @@
   id: string
   deadlineMilliseconds: number | undefined
   objectKey: string | undefined
+  /** Key of the guest's client account. */
+  key?: string
 }
 
 /** Dependencies of a guest listener. */
@@ -40,6 +43,8 @@
   stopWindow: StopWindow
   /** Memory of the bodies of all requests. */
   bodies: MessagePools
+  /** @returns time within which each host stops to serve withdrawn keys, in milliseconds; undefined, as by default, without that guarantee */
+  revocationMilliseconds?: () => number | undefined
   /** Reads the fields of a request; returns undefined when they are malformed. */
   readFields: (message: IncomingMessage) => GuestFields | undefined
   random: () => number
@@ -121,6 +126,9 @@
     if (route === undefined) return RefusalReason.UnknownPath
     const fields = readFields(message)
     if (fields === undefined) return RefusalReason.BadRequest
+    const areKeysConfirmed = known.planLease.isValid(this.#options.revocationMilliseconds?.())
+    const access = authorizeRequest({ accounts: known.accounts, route, key: fields.key, areKeysConfirmed })
+    if (typeof access === 'string') return access
     const guestDeadline = arrivedAt + (fields.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS)
     const deadline = Math.min(guestDeadline, arrivedAt + route.timeoutMilliseconds)
     const body = await readBodyUntil(message, plan.limits.bodyBytes, deadline, stopWindow, memory)
@@ -132,6 +140,7 @@
       headers: [{ name: 'host', value: message.headers.host ?? '' }, ...listEndToEndHeaders(message)],
       body,
       route,
+      access,
       objectKey: fields.objectKey,
       guestDeadline,
       deadline,
--- a/src/entry/createAdmissionRequest.ts
+++ b/src/entry/createAdmissionRequest.ts
@@ -11,11 +11,11 @@
  * @param stopWindow - decides what a stopping host still accepts
  * @returns its priority, its maximum wait and what else ends the wait
  */
-export function createAdmissionRequest ({ route, arrivedAt, deadline }: EntryRequest, meanHoldMilliseconds: number, stopWindow: Pick<StopWindow, 'watch'>): AdmissionRequest {
+export function createAdmissionRequest ({ route, access, arrivedAt, deadline }: EntryRequest, meanHoldMilliseconds: number, stopWindow: Pick<StopWindow, 'watch'>): AdmissionRequest {
   const now = performance.now()
   const remainingObjective = arrivedAt + route.targetLatencyMilliseconds - now
   return {
-    priority: route.priority,
+    priority: access?.account?.priority ?? route.priority,
     maximumWaitMilliseconds: computeMaximumWait({ objectiveMilliseconds: remainingObjective, remainingMilliseconds: deadline - now, expectedRunMilliseconds: meanHoldMilliseconds }),
     watchStop: (refuse) => stopWindow.watch(deadline, refuse)
   }
--- a/src/entry/listCandidates.ts
+++ b/src/entry/listCandidates.ts
@@ -19,7 +19,8 @@
   service: string
   /** Determines the order of the upstreams: the same key always gives the same order. */
   placementKey: string
-  homeRegions: readonly string[]
+  /** Regions that may handle the request; all when undefined. */
+  homeRegions: readonly string[] | undefined
   /** Region of this host, and so of its guests. */
   region: string
   /** Identifiers of upstreams that must not get another attempt. */
@@ -39,7 +40,7 @@
   const keyHash = hashKey(query.placementKey)
   const allowed = listUnpaused(known, loads, query.service, now).filter(({ record }) => {
     if (excludedUpstreams.has(record.id) || known.isEvacuated(record.domain)) return false
-    return homeRegions.length === 0 || homeRegions.includes(regionOf(record.domain) ?? '')
+    return homeRegions === undefined || homeRegions.includes(regionOf(record.domain) ?? '')
   })
   const isUsable = (id: string): boolean => (!loads.isLost(id) || canProbe(loads.get(id))) && loads.get(id).isTrusted(now)
   const available = allowed.filter(({ record, coldUntil }) => coldUntil <= now || canUseCold(record))
--- a/src/entry/recordAnswer.ts
+++ b/src/entry/recordAnswer.ts
@@ -35,6 +35,7 @@
     step: Step.Answer,
     request: request.id,
     route: request.route.name,
+    account: request.access?.account?.name,
     service: progress.service,
     plan: known.plan?.version,
     tried: progress.attemptedUpstreams.join(','),
--- a/src/follow/ControlFollower.ts
+++ b/src/follow/ControlFollower.ts
@@ -5,6 +5,7 @@
 import { PeerMethod } from '../types/PeerMethod.js'
 import { Step } from '../types/Step.js'
 import { askWithHedging } from '../utils/askWithHedging.js'
+import { readClocks, type ClockReading } from '../utils/ClockReading.js'
 import { pause } from '../utils/pause.js'
 import { ControlHostRanking } from './ControlHostRanking.js'
 import type { CurrencyReply, FeedPosition, FollowReply, FollowRequest } from './FollowMessages.js'
@@ -115,14 +116,15 @@
     const { describeHost, callPeer } = this.#options
     const request: FollowRequest = { entryHost: describeHost(), position: this.#getPosition(address), waitMilliseconds: LONG_POLL_MILLISECONDS, losses: [] }
     const timeout = this.#lastAnsweredAddress === address ? LONG_POLL_MILLISECONDS + ANSWER_TIMEOUT_MILLISECONDS : FIRST_ANSWER_TIMEOUT_MILLISECONDS
+    const requestedAt = readClocks()
     try {
-      this.#applyReply(address, await callPeer<FollowReply>(address, PeerMethod.Follow, request, timeout))
+      this.#applyReply(address, await callPeer<FollowReply>(address, PeerMethod.Follow, request, timeout), requestedAt)
     } catch (error) {
       this.#abandon(address, String(error))
     }
   }
 
-  #applyReply (address: string, reply: FollowReply): void {
+  #applyReply (address: string, reply: FollowReply, requestedAt: ClockReading): void {
     const { known, onPlan, onCrashes, onUpstreams, log } = this.#options
     if (this.#lastAnsweredAddress !== address) log.info('control-host-followed', { step: Step.Follow, peer: address, plan: reply.position.planVersion, current: reply.isCurrent, upstreams: reply.upstreams.length, complete: reply.isComplete })
     this.#lastAnsweredAddress = address
@@ -134,6 +136,7 @@
     // A control host may report itself as current until its leader contacts it; a newer plan known here proves that it is behind.
     const isCurrent = reply.isCurrent && this.#isPlanCurrent(reply.position)
     if (isCurrent) this.#recordCurrent(address)
+    if (isCurrent && reply.position.planVersion === known.plan?.version) known.planLease.confirm(requestedAt)
     if (isCurrent) this.#searchForBetter(this.#ranking.listNearer(address))
     else if (performance.now() - this.#staleSince > MAXIMUM_STALE_MILLISECONDS) this.#searchForBetter(this.#ranking.rank().filter((other) => other !== address))
   }
--- a/src/follow/KnownState.ts
+++ b/src/follow/KnownState.ts
@@ -1,10 +1,12 @@
 import { applyPlanDelta, type PlanDelta } from '../plan/PlanDelta.js'
+import { AccountTable } from '../plan/AccountTable.js'
 import { RouteTable } from '../plan/RouteTable.js'
 import type { PlanService, RoutingPlan } from '../plan/RoutingPlan.js'
 import { UpstreamTable } from '../registry/UpstreamTable.js'
 import type { UpstreamEntry } from '../registry/UpstreamEntry.js'
 import { getIncarnation, isGone, UpstreamReadiness, type UpstreamRecord } from '../registry/UpstreamRecord.js'
 import type { FollowReply } from './FollowMessages.js'
+import { PlanLease } from './PlanLease.js'
 import { PeakDemand } from './PeakDemand.js'
 import { SmoothedDemand } from './SmoothedDemand.js'
 
@@ -13,9 +15,12 @@
 
 /** State that an entry host has received from control hosts. It never goes back within a process run, whichever control host is followed. */
 export class KnownState {
+  /** Whether the plan is certainly the newest one. */
+  readonly planLease = new PlanLease()
   readonly upstreams = new UpstreamTable({ lostMilliseconds: Number.POSITIVE_INFINITY })
   #plan: RoutingPlan | undefined
   #routes: RouteTable | undefined
+  #accounts: AccountTable | undefined
   #servicesByName = new Map<string, PlanService>()
   #evacuated = new Set<string>()
   #evacuationRevision = -1
@@ -63,6 +68,11 @@
     return this.#routes
   }
 
+  /** Client accounts of the plan; undefined when it has none, so that requests need no key. */
+  get accounts (): AccountTable | undefined {
+    return this.#accounts
+  }
+
   /** @returns the entry of a service in the plan, undefined when the plan has none */
   service (name: string): PlanService | undefined {
     return this.#servicesByName.get(name)
@@ -177,6 +187,7 @@
     if (plan === undefined || plan.version <= (this.#plan?.version ?? 0)) return false
     this.#plan = plan
     this.#routes = new RouteTable(plan)
+    this.#accounts = plan.accounts === undefined ? undefined : new AccountTable(plan.accounts)
     this.#servicesByName = new Map(plan.services.map((service) => [service.name, service]))
     return true
   }
--- a/src/follow/StateFeed.ts
+++ b/src/follow/StateFeed.ts
@@ -11,6 +11,7 @@
 import { PeerMethod } from '../types/PeerMethod.js'
 import { Step } from '../types/Step.js'
 import type { CurrencyReply, FeedPosition, FollowedUpstream, FollowReply, FollowRequest } from './FollowMessages.js'
+import { SuspensionDetector } from '../utils/SuspensionDetector.js'
 import { PlanHistory } from './PlanHistory.js'
 
 /** Changes within this time are sent together: upstreams of a service often change in groups. */
@@ -18,6 +19,9 @@
 /** Age up to which a report counts as recent; entry hosts report about twice a second. */
 const RECENT_REPORT_MILLISECONDS = 1_500
 
+/** Time after a suspension in which the contact with the leader may date from before it: as long as a replica waits for its leader. */
+const MAXIMUM_CONTACT_AGE_MILLISECONDS = 700
+
 /** Dependencies of {@link StateFeed}. */
 export interface StateFeedOptions {
   /** Identifies this process run of the control host. */
@@ -37,6 +41,7 @@
   readonly #waiters = new Set<() => void>()
   readonly #reportedAtByName = new Map<string, number>()
   readonly #planHistory = new PlanHistory()
+  readonly #suspensions = new SuspensionDetector()
   #batchTimer: NodeJS.Timeout | undefined
   #isOpen = false
 
@@ -68,9 +73,13 @@
   }
 
   #describeCurrency (): CurrencyReply {
-    const { plans, isCurrent } = this.#options
+    const { plans } = this.#options
     if (!this.#isOpen) return { isCurrent: false, planVersion: 0 }
-    return { isCurrent: isCurrent(), planVersion: plans.plan?.version ?? 0 }
+    return { isCurrent: this.#isCurrent(), planVersion: plans.plan?.version ?? 0 }
+  }
+
+  #isCurrent (): boolean {
+    return this.#suspensions.millisecondsSinceResume > MAXIMUM_CONTACT_AGE_MILLISECONDS && this.#options.isCurrent()
   }
 
   async #handleFollow (request: FollowRequest): Promise<FollowReply> {
@@ -112,7 +121,7 @@
       evacuated: evacuationRevision > position.evacuationRevision ? plans.evacuated : undefined,
       upstreams: upstreams.changedSince(isComplete ? 0 : position.revision).map(describeUpstream),
       isComplete,
-      isCurrent: this.#options.isCurrent(),
+      isCurrent: this.#isCurrent(),
       entryHosts: this.#options.entryHosts.count,
       demand: this.#options.entryHosts.sumDemand(),
       controlHosts: this.#options.listControlHosts(),
--- a/src/hibiscusrelay.ts
+++ b/src/hibiscusrelay.ts
@@ -97,6 +97,7 @@
 export { SuspectRuns, type SuspectRunsOptions } from './relay/SuspectRuns.js'
 
 // Routing plans: routes, services and evacuations, accepted through the replicated log like sheets.
+export { digestKey } from './plan/digestKey.js'
 export { checkPlan } from './plan/checkPlan.js'
 export { pickTarget } from './plan/pickTarget.js'
 export { PlanEntryKind, type PlanEntry, type PlanSubmission } from './plan/PlanEntry.js'
@@ -107,7 +108,7 @@
 export { hasCallerDisconnected } from './transport/hasCallerDisconnected.js'
 export { PlanState, type StoredPlanState } from './plan/PlanState.js'
 export { RouteTable } from './plan/RouteTable.js'
-export type { ListenerLimits, PlanRoute, PlanService, RouteTarget, RoutingPlan } from './plan/RoutingPlan.js'
+export type { GuestAccount, ListenerLimits, PlanRoute, PlanService, RouteTarget, RoutingPlan } from './plan/RoutingPlan.js'
 
 // Control hosts: replicas of plans, the registry of upstreams, and the state that entry hosts follow.
 export { chooseRepair, RepairKind, type Repair } from './control/chooseRepair.js'
--- a/src/placement/LoadReport.ts
+++ b/src/placement/LoadReport.ts
@@ -6,4 +6,6 @@
   waiting: number
   /** Requests that it can run at the same time. */
   slots: number
+  /** How long work takes there at this moment, in percent of its usual time; undefined when the upstream does not tell. */
+  workPercent?: number
 }
--- a/src/plan/RoutingPlan.ts
+++ b/src/plan/RoutingPlan.ts
@@ -28,6 +28,23 @@
   sticky: boolean
   /** Regions that may handle the requests; all when empty. */
   homeRegions: string[]
+  /** Whether requests need no key although the plan has client accounts; by default they need one. */
+  isPublic?: true
+}
+
+/** A client account: its guests' requests carry one of its keys, and share its quota. */
+export interface GuestAccount {
+  name: string
+  /** Digests of its keys, see {@link digestKey}; the keys themselves stay in the operator's document. */
+  keyDigests: string[]
+  /** Priority of its requests in place of that of their routes; 0 is the most urgent. */
+  priority?: number
+  /** Requests per second over all hosts together; 0 for no limit. */
+  requestsPerSecond: number
+  /** Requests beyond that rate that may come at once. */
+  burst: number
+  /** Regions that may handle its requests; all when empty. */
+  homeRegions: string[]
 }
 
 /** An operator's configuration of a service. */
@@ -57,4 +74,6 @@
   routes: PlanRoute[]
   services: PlanService[]
   limits: ListenerLimits
+  /** Client accounts; absent when requests need no key. */
+  accounts?: GuestAccount[]
 }
--- a/src/plan/checkPlan.ts
+++ b/src/plan/checkPlan.ts
@@ -1,6 +1,6 @@
 import { formatRouteKey } from './PlanDelta.js'
 import { PlanProblem, type PlanFault } from './PlanFault.js'
-import type { PlanRoute, RoutingPlan } from './RoutingPlan.js'
+import type { GuestAccount, PlanRoute, RoutingPlan } from './RoutingPlan.js'
 
 /**
  * Checks a routing plan on its own. Whether it is based on the plan in force is checked when it is applied.
@@ -13,7 +13,18 @@
   return [
     ...listDuplicates(plan.services.map(({ name }) => name)).map((name) => ({ problem: PlanProblem.DuplicateService, name, value: name })),
     ...listDuplicates(plan.routes.map(formatRouteKey)).map((routeKey) => ({ problem: PlanProblem.DuplicateRoute, name: routeKey, value: routeKey })),
-    ...plan.routes.flatMap((route) => checkRoute(route, serviceNames))
+    ...plan.routes.flatMap((route) => checkRoute(route, serviceNames)),
+    ...checkAccounts(plan.accounts ?? [])
+  ]
+}
+
+/** A key is not told in a fault, only the account that holds it as well. */
+function checkAccounts (accounts: readonly GuestAccount[]): PlanFault[] {
+  const sharedDigests = new Set(listDuplicates(accounts.flatMap(({ keyDigests }) => [...new Set(keyDigests)])))
+  return [
+    ...listDuplicates(accounts.map(({ name }) => name)).map((name) => ({ problem: PlanProblem.DuplicateAccount, name, value: name })),
+    ...accounts.filter(({ keyDigests }) => keyDigests.some((digest) => sharedDigests.has(digest))).map(({ name }) => ({ problem: PlanProblem.SharedKey, name, value: name })),
+    ...accounts.filter(({ requestsPerSecond, burst }) => requestsPerSecond < 0 || burst < 0).map(({ name, requestsPerSecond, burst }) => ({ problem: PlanProblem.NegativeQuota, name, value: `${requestsPerSecond} ${burst}` }))
   ]
 }
 
--- a/src/settings/loadPlanHostSettings.ts
+++ b/src/settings/loadPlanHostSettings.ts
@@ -14,8 +14,13 @@
   .pipe(z.array(ADDRESS).min(1, 'allowed: one or more addresses, separated by commas'))
 const TRUE_OR_FALSE = z.union([z.boolean(), z.enum(['true', 'false'])], 'allowed: true or false').transform((value) => value === true || value === 'true')
 
+const OPTIONAL_TRUE_OR_FALSE = z.union([z.literal('').transform(() => false), TRUE_OR_FALSE]).default(false)
+const OPTIONAL_NUMBER = z.string().regex(/^(\d+(\.\d+)?)?$/, 'allowed: a number').transform((text) => text === '' ? undefined : Number(text)).optional()
+
 const OPTIONAL_COUNT = z.string().regex(/^\d{0,4}$/, 'allowed: a whole number').transform((text) => text === '' ? undefined : Number(text)).optional()
 
+const DEFAULT_REVOCATION_SECONDS = 5
+
 function createNumberSchema (defaultValue: number) {
   return z.string().regex(/^\d+(\.\d+)?$/, 'allowed: a number').transform(Number).default(defaultValue)
 }
@@ -31,7 +36,14 @@
     'metrics-address': OPTIONAL_ADDRESS
   }),
   control: z.object({ 'seed-addresses': ADDRESSES, 'peer-port': PORT, 'first-start': TRUE_OR_FALSE.default(false), 'tolerated-losses': OPTIONAL_COUNT, 'announcement-seconds': createNumberSchema(1.5) }),
-  limits: z.object({ 'stop-seconds': createNumberSchema(6), 'retry-ratio': createNumberSchema(0.2), 'retry-allowance': createNumberSchema(10), 'retry-window-seconds': createNumberSchema(10) }).prefault({}),
+  limits: z.object({
+    'stop-seconds': createNumberSchema(6),
+    'retry-ratio': createNumberSchema(0.2),
+    'retry-allowance': createNumberSchema(10),
+    'retry-window-seconds': createNumberSchema(10),
+    'strict-revocation': OPTIONAL_TRUE_OR_FALSE,
+    'revocation-seconds': OPTIONAL_NUMBER
+  }).prefault({}),
   regions: z.record(z.string(), z.string()).default({})
 })
 
@@ -63,6 +75,7 @@
     announcementMilliseconds: control['announcement-seconds'] * 1000,
     stopMilliseconds: limits['stop-seconds'] * 1000,
     retryBound: { ratio: limits['retry-ratio'], allowance: limits['retry-allowance'], windowMilliseconds: limits['retry-window-seconds'] * 1000 },
+    revocationMilliseconds: limits['strict-revocation'] ? (limits['revocation-seconds'] ?? DEFAULT_REVOCATION_SECONDS) * 1000 : undefined,
     regions: new Map(Object.entries(regions))
   }
 }
--- a/src/types/RefusalReason.ts
+++ b/src/types/RefusalReason.ts
@@ -14,6 +14,8 @@
   BodyMemory = 'body-memory',
   HeadersTooLarge = 'headers-too-large',
   Unauthorized = 'unauthorized',
+  /** The host can't tell whether a newer plan has withdrawn keys. */
+  KeysUnconfirmed = 'keys-unconfirmed',
   NoSheet = 'no-sheet',
   NoPlan = 'no-plan',
   NoUpstream = 'no-upstream',
