--- a/__tests__/plan/PlanDelta.test.ts
+++ b/__tests__/plan/PlanDelta.test.ts
@@ -4,7 +4,7 @@
 import { PlanHistory } from '../../src/follow/PlanHistory.js'
 import { applyPlanDelta, diffPlans } from '../../src/plan/PlanDelta.js'
 import type { PlanRoute } from '../../src/plan/RoutingPlan.js'
-import { createPlan, createRoute } from './createPlan.js'
+import { createAccount, createPlan, createRoute } from './createPlan.js'
 
 const routes = fc.uniqueArray(fc.record({ index: fc.integer({ min: 0, max: 12 }), mostAttempts: fc.integer({ min: 1, max: 3 }) }), { selector: ({ index }) => index })
   .map((generated) => generated.map(({ index, mostAttempts }) => createRoute({ name: `r${index}`, pathPrefix: `/${index}/`, mostAttempts })))
@@ -34,3 +34,14 @@
   history.record(createPlan(2, [createRoute({ pathPrefix: '/new/' })]))
   assert.equal(history.findDelta(1), undefined)
 })
+
+// Guards against withdrawn keys that stay valid at hosts which receive plans as deltas.
+test('a delta carries the accounts that changed, and removes those that are gone', () => {
+  const base = { ...createPlan(3), accounts: [createAccount({ keyDigests: ['a', 'b'] }), createAccount({ name: 'kept' }), createAccount({ name: 'gone' })] }
+  const plan = { ...createPlan(7), accounts: [createAccount({ name: 'kept' }), createAccount({ keyDigests: ['b'] })] }
+  const delta = diffPlans(base, plan)
+  assert.deepEqual(delta.accounts, { removed: ['gone'], changed: [createAccount({ keyDigests: ['b'] })] })
+  assert.deepEqual(applyPlanDelta(base, delta), plan)
+  assert.deepEqual(applyPlanDelta(base, diffPlans(base, createPlan(7))), createPlan(7))
+  assert.deepEqual(applyPlanDelta(createPlan(3), diffPlans(createPlan(3), plan)), plan)
+})
--- a/__tests__/plan/checkPlan.test.ts
+++ b/__tests__/plan/checkPlan.test.ts
@@ -3,7 +3,7 @@
 import { checkPlan } from '../../src/plan/checkPlan.js'
 import { PlanProblem } from '../../src/plan/PlanFault.js'
 import type { PlanRoute } from '../../src/plan/RoutingPlan.js'
-import { createPlan, createRoute } from './createPlan.js'
+import { createAccount, createPlan, createRoute } from './createPlan.js'
 
 const faultyRoutes: Array<[problem: PlanProblem, overrides: Partial<PlanRoute>]> = [
   [PlanProblem.UnknownService, { targets: [{ service: 'nowhere', weight: 1 }] }],
@@ -36,3 +36,12 @@
   const faults = checkPlan(createPlan(1, [createRoute({ mostAttempts: 0, pathPrefix: 'x' }), createRoute({ name: 'b', targets: [] })]))
   assert.deepEqual(faults.map(({ problem }) => problem).sort(), [PlanProblem.BadPrefix, PlanProblem.NoAttempts, PlanProblem.NoWeight].sort())
 })
+
+// Guards against a plan in which the account of a request is ambiguous.
+test('two accounts with the same name or the same key are a fault, as is a negative quota', () => {
+  const check = (...accounts: Array<Parameters<typeof createAccount>[0]>): PlanProblem[] => checkPlan({ ...createPlan(1), accounts: accounts.map(createAccount) }).map(({ problem }) => problem)
+  assert.deepEqual(check({ keyDigests: ['a', 'b', 'b'] }, { name: 'other', keyDigests: ['c'] }), [])
+  assert.deepEqual(check({ keyDigests: ['a'] }, { keyDigests: ['b'] }), [PlanProblem.DuplicateAccount])
+  assert.deepEqual(check({ keyDigests: ['a', 'b'] }, { name: 'other', keyDigests: ['b'] }), [PlanProblem.SharedKey, PlanProblem.SharedKey])
+  assert.deepEqual(check({ requestsPerSecond: -1 }), [PlanProblem.NegativeQuota])
+})
--- a/__tests__/plan/createPlan.ts
+++ b/__tests__/plan/createPlan.ts
@@ -1,5 +1,5 @@
 import type { PlanSubmission } from '../../src/plan/PlanEntry.js'
-import type { PlanRoute, RoutingPlan } from '../../src/plan/RoutingPlan.js'
+import type { GuestAccount, PlanRoute, RoutingPlan } from '../../src/plan/RoutingPlan.js'
 import { RequestClass } from '../../src/types/RequestClass.js'
 
 /** @returns a route with the given fields, and defaults for the others */
@@ -34,3 +34,8 @@
 export function createSubmission (version: number, baseVersion: number, variant = ''): PlanSubmission {
   return { plan: createPlan(version), baseVersion, digest: `${version}-${baseVersion}-${variant}`, document: `document ${version} ${variant}` }
 }
+
+/** @returns a client account with the given fields replaced */
+export function createAccount (overrides: Partial<GuestAccount> = {}): GuestAccount {
+  return { name: 'account-1', keyDigests: [], requestsPerSecond: 0, burst: 0, homeRegions: [], ...overrides }
+}
--- a/__tests__/platform/decode.test.ts
+++ b/__tests__/platform/decode.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test'
 import { decodeAnnouncement, decodeBornAt } from '../../platform/wire/decodeAnnouncement.js'
 import { decodePlan } from '../../platform/wire/decodePlan.js'
+import { digestKey } from '../../src/plan/digestKey.js'
 import { RequestClass } from '../../src/types/RequestClass.js'
 import { UpstreamReadiness } from '../../src/registry/UpstreamRecord.js'
 
@@ -82,3 +83,25 @@
     assert.equal(typeof decodePlan(text), 'string')
   })
 }
+
+// Guards against downloads whose route is rejected, or that are not repeated.
+test('the route type of downloads is decoded as idempotent', () => {
+  const submission = decodePlan(composeDocument(routeRow.with(3, 'download')))
+  assert.ok(typeof submission !== 'string')
+  assert.equal(submission.plan.routes[0]!.requestClass, RequestClass.Idempotent)
+})
+
+// Guards against keys that leave the control host, and against accounts that a deployment without them does not have.
+test('client accounts are decoded with digests of their keys, and are absent from a plan without them', () => {
+  const columns = ['name', 'api_keys', 'priority', 'rate_per_s', 'burst', 'home_regions']
+  const submission = decodePlan(composeDocument(routeRow, { tenants: { columns, rows: [['t', ['k-1', 'k-2'], 1, 5.5, 7, ['asturias']], ['u', ['k-3'], null, null, null, null]] } }))
+  assert.ok(typeof submission !== 'string')
+  assert.deepEqual(submission.plan.accounts, [
+    { name: 't', keyDigests: [digestKey('k-1'), digestKey('k-2')], priority: 1, requestsPerSecond: 5.5, burst: 7, homeRegions: ['asturias'] },
+    { name: 'u', keyDigests: [digestKey('k-3')], priority: undefined, requestsPerSecond: 0, burst: 0, homeRegions: [] }
+  ])
+  assert.doesNotMatch(JSON.stringify(submission.plan), /k-1/)
+  const plain = decodePlan(composeDocument(routeRow))
+  assert.ok(typeof plain !== 'string')
+  assert.equal('accounts' in plain.plan, false)
+})
