Send downloads to upstreams of the own failure domain first

Cause: downloads take most bytes between failure domains, though an upstream of the own domain could serve them.

--- a/__performance_tests__/candidateNotices.ts
+++ b/__performance_tests__/candidateNotices.ts
@@ -40,7 +40,7 @@
 }
 
 function createQuery (number: number): CandidateQuery {
-  return { service: 'inventario', placementKey: `lookups|${number}`, homeRegions: [], region: 'asturias', excludedUpstreams: new Set(), regionOf: () => 'asturias', canUseCold: () => true }
+  return { service: 'inventario', placementKey: `lookups|${number}`, homeRegions: undefined, region: 'asturias', excludedUpstreams: new Set(), regionOf: () => 'asturias', canUseCold: () => true }
 }
 
 /** @returns time of one choice in microseconds */
--- a/__performance_tests__/placement/createModelHost.ts
+++ b/__performance_tests__/placement/createModelHost.ts
@@ -33,6 +33,7 @@
   const admission = new ServiceAdmission(known, loads)
   const relay = new EntryRelay({
     hostName: name,
+    domain,
     region: regionOf(domain),
     known,
     loads,
--- a/__tests__/entry/createRelayFixture.ts
+++ b/__tests__/entry/createRelayFixture.ts
@@ -44,6 +44,7 @@
   const parts = createSender({ known, loads, connections, protocol: upstreamProtocol, answerBufferBytes: 1024, probe, counters: options.counters, log: options.log })
   const relay = new EntryRelay({
     hostName: 'entry-1',
+    domain: 'oviedo',
     region: 'asturias',
     known,
     loads,
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -183,6 +183,7 @@
     const { settings, protocol, random, callPeer, counters, latencies, log } = this.#options
     return new EntryRelay({
       hostName: settings().name,
+      domain: settings().domain,
       region: settings().region,
       known: this.#known,
       loads: this.#loads,
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -43,6 +43,7 @@
 /** Dependencies of an entry relay. */
 export interface EntryRelayOptions {
   hostName: string
+  domain: string
   region: string
   known: KnownState
   loads: UpstreamLoads
@@ -131,6 +132,7 @@
       placementKey: this.#getPlacementKey(request, progress),
       homeRegions: combineHomeRegions(request.route, request.access?.account),
       region: this.#options.region,
+      preferredDomain: request.route.hasLargeAnswers === true ? this.#options.domain : undefined,
       excludedUpstreams: progress.excludedUpstreams,
       regionOf,
       canUseCold: (record) => this.#canUseCold(record)
--- a/src/entry/listCandidates.ts
+++ b/src/entry/listCandidates.ts
@@ -23,6 +23,8 @@
   homeRegions: readonly string[] | undefined
   /** Region of this host, and so of its guests. */
   region: string
+  /** Failure domain whose upstreams come first within their region; undefined for no preference. */
+  preferredDomain?: string | undefined
   /** Identifiers of upstreams that must not get another attempt. */
   excludedUpstreams: ReadonlySet<string>
   regionOf: (domain: string) => string | undefined
@@ -56,9 +58,10 @@
       isWarm: loads.warmObjects.isWarm(query.placementKey, record.id, now),
       utilization: loads.get(record.id).utilization(record.slots, now),
       regionRank: regions.indexOf(regionOf(record.domain) ?? ''),
+      domainRank: record.domain === query.preferredDomain ? 0 : 1,
       score: computeScore(keyHash, hashText(record.id))
     }))
-    .sort((left, right) => left.regionRank - right.regionRank || right.score - left.score)
+    .sort((left, right) => left.regionRank - right.regionRank || left.domainRank - right.domainRank || right.score - left.score)
 }
 
 /**
--- a/src/plan/RoutingPlan.ts
+++ b/src/plan/RoutingPlan.ts
@@ -28,6 +28,8 @@
   sticky: boolean
   /** Regions that may handle the requests; all when empty. */
   homeRegions: string[]
+  /** Whether answers are large, so that links between failure domains matter more than a further copy of an object; by default they are not. */
+  hasLargeAnswers?: true
   /** Whether requests need no key although the plan has client accounts; by default they need one. */
   isPublic?: true
 }
