--- a/__tests__/entry/authorizeRequest.test.ts
+++ b/__tests__/entry/authorizeRequest.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { authorizeRequest } from '../../src/entry/authorizeRequest.js'
-import { combineHomeRegions } from '../../src/entry/combineHomeRegions.js'
+import { combineHomeRegions } from '../../src/plan/combineHomeRegions.js'
 import { AccountTable } from '../../src/plan/AccountTable.js'
 import { digestKey } from '../../src/plan/digestKey.js'
 import { RefusalReason } from '../../src/types/RefusalReason.js'
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -21,7 +21,7 @@
 import { Step } from '../types/Step.js'
 import { waitUntil } from '../utils/waitUntil.js'
 import { CrashDetector } from './CrashDetector.js'
-import { MAXIMUM_BUFFERED_ANSWER_BYTES } from './entryMemoryLimits.js'
+import { MAXIMUM_BUFFERED_ANSWER_BYTES, MAXIMUM_GUEST_HEAD_BYTES } from './entryMemoryLimits.js'
 import { EntryRelay } from './EntryRelay.js'
 import { GuestListener, type GuestListenerOptions } from './GuestListener.js'
 import { ServiceAdmission } from './ServiceAdmission.js'
@@ -33,8 +33,6 @@
 import { UpstreamRuns } from './UpstreamRuns.js'
 import { UpstreamSender } from './UpstreamSender.js'
 
-/** Maximum size of the header of a request for the parser, which is set before a plan with its own limit is known. */
-const MAXIMUM_HEADER_BYTES = 65_536
 const PRUNE_INTERVAL_MILLISECONDS = 5_000
 /** How long a stopping host still accepts connections: guests use an answer of the directory for some seconds. */
 const CONNECTION_GRACE_MILLISECONDS = 1_500
@@ -102,7 +100,7 @@
     const guestListener = new GuestListener({ ...options, revocationMilliseconds: () => options.settings().revocationMilliseconds, known: this.#known, relay: this.#createRelay(), stopWindow: this.#stopWindow, bodies: options.memory.bodies })
     this.#listener = new HttpListener({
       address: options.settings().guestAddress,
-      headerBytes: MAXIMUM_HEADER_BYTES,
+      headerBytes: MAXIMUM_GUEST_HEAD_BYTES,
       handle: (request, response, arrivedAt) => guestListener.handle(request, response, arrivedAt),
       onMalformed: options.malformedAnswer,
       onFault: recordListenerFault(options, 'guest')
--- a/src/entry/entryMemoryLimits.ts
+++ b/src/entry/entryMemoryLimits.ts
@@ -1,5 +1,7 @@
 import type { HostMemoryLimits } from '../limits/HostMemory.js'
 
+/** Maximum size of the header of a request for the parser, which is set before a plan with its own limit is known. */
+export const MAXIMUM_GUEST_HEAD_BYTES = 65_536
 /** Answers up to this size are buffered completely before they are passed on. */
 export const MAXIMUM_BUFFERED_ANSWER_BYTES = 262_144
 
--- a/src/hibiscusrelay.ts
+++ b/src/hibiscusrelay.ts
@@ -98,6 +98,8 @@
 
 // Routing plans: routes, services and evacuations, accepted through the replicated log like sheets.
 export { digestKey } from './plan/digestKey.js'
+export { inspectPlan, type PlanInspection } from './plan/inspection/inspectPlan.js'
+export { FindingKind, type PlanFinding } from './plan/inspection/PlanFinding.js'
 export { checkPlan } from './plan/checkPlan.js'
 export { pickTarget } from './plan/pickTarget.js'
 export { PlanEntryKind, type PlanEntry, type PlanSubmission } from './plan/PlanEntry.js'
@@ -126,7 +128,7 @@
 export { UpstreamTable } from './registry/UpstreamTable.js'
 
 // Entry hosts that follow a routing plan, and their decisions on placement and retries.
-export { ENTRY_MEMORY_LIMITS } from './entry/entryMemoryLimits.js'
+export { ENTRY_MEMORY_LIMITS, MAXIMUM_GUEST_HEAD_BYTES } from './entry/entryMemoryLimits.js'
 export { EntryHostProcess, type EntryHostOptions, type EntryHostSettings } from './entry/EntryHostProcess.js'
 export { EntryRelay, type EntryRelayOptions } from './entry/EntryRelay.js'
 export type { EntryRequest } from './entry/EntryRequest.js'
--- a/src/entry/combineHomeRegions.ts
+++ b/src/plan/combineHomeRegions.ts
@@ -1,4 +1,4 @@
-import type { GuestAccount, PlanRoute } from '../plan/RoutingPlan.js'
+import type { GuestAccount, PlanRoute } from './RoutingPlan.js'
 
 /**
  * @param route - route of a request
