Count an upstream as ended only on evidence, not on silence

Cause: CrashDetector took a connection that was not established within 400 ms for the end of the upstream, for good. After a partition in which nothing ended, no response without a length from that upstream was confirmed any more, and every request in flight there was blamed.

Change: the probe reports refused and unreachable connections as two states. Only a refusal by the host or the announcement of a later start shows an end. An end has a time, so that it says nothing about runs that began after it. Runs at an unreachable upstream are remembered for 30 s, so that a crash behind a partition is still attributed once its next start is announced.

--- a/src/entry/CrashDetector.ts
+++ b/src/entry/CrashDetector.ts
@@ -23,6 +23,8 @@
 const SUSPECT_REVIEW_MILLISECONDS = 200
 /** Time after an upstream was found alive in which only suspects are a reason to look again. */
 const ALIVE_MILLISECONDS = 1_000
+/** Time after a look without a result in which copies of a request do not wait for another one at the same upstream. */
+const UNCLEAR_MILLISECONDS = 1_000
 const MINIMUM_REMEMBERED_UPSTREAMS = 1_000
 
 /** Dependencies of {@link CrashDetector}. */
@@ -46,7 +48,9 @@
   readonly #savesByIncarnation = new Map<string, Promise<void>>()
   readonly #looks = new FreshLooks()
   readonly #aliveAt = new RecentMap<number>(MINIMUM_REMEMBERED_UPSTREAMS)
-  readonly #ended = new RecentMap<boolean>(MINIMUM_REMEMBERED_UPSTREAMS)
+  readonly #unclearAt = new RecentMap<number>(MINIMUM_REMEMBERED_UPSTREAMS)
+  /** When an upstream was last found ended; responses of runs that began later show that it had not. */
+  readonly #endedAt = new RecentMap<number>(MINIMUM_REMEMBERED_UPSTREAMS)
   #reviewTimer: NodeJS.Timeout | undefined
 
   /** @param options - runs of this host, the crash table and the known upstreams */
@@ -55,7 +59,8 @@
   }
 
   /**
-   * Finds out whether an upstream has ended, and records the loss for its runs without a whole answer.
+   * Finds out whether an upstream has ended, and records the loss for its runs without a whole answer. An upstream that cannot
+   * be reached has not necessarily ended: only a refused connection or the announcement of a later start shows that.
    * Concurrent calls for the same upstream share one check. Returns when a recorded loss is stored, or the wait for that is over.
    */
   async checkUpstream (record: UpstreamRecord): Promise<void> {
@@ -71,12 +76,14 @@
    * Finds out whether an upstream has not ended. Unlike {@link CrashDetector.checkUpstream} it counts neither a check that began
    * before, nor an announcement that the upstream leaves, nor the want of an own connection as a sign of life.
    *
+   * @param record - the upstream
+   * @param begunAt - when the run began whose answer is to be confirmed; an end that was found before says nothing about it
    * @returns whether a connection that was opened after this call showed that the upstream lives
    */
-  async isAlive (record: UpstreamRecord): Promise<boolean> {
+  async isAlive (record: UpstreamRecord, begunAt: number): Promise<boolean> {
     const { known } = this.#options
     const incarnation = getIncarnation(record)
-    const hasEnded = (): boolean => this.#ended.get(incarnation) === true || known.upstreams.isReplaced(record)
+    const hasEnded = (): boolean => (this.#endedAt.get(incarnation) ?? Number.NEGATIVE_INFINITY) > begunAt || known.upstreams.isReplaced(record)
     if (hasEnded()) return false
     const isListening = await this.#looks.look(incarnation, async () => [ListenerState.Open, ListenerState.ClosedEarly].includes(await this.#probe(record.address)))
     return isListening && !hasEnded()
@@ -87,7 +94,7 @@
     const { runs } = this.#options
     if (runs.isProven(fingerprint)) return
     const now = performance.now()
-    const unclearCopies = runs.listCopies(fingerprint).filter(({ record, startedAt }) => now - startedAt > COPY_AGE_MILLISECONDS && this.#getAliveAt(record) < startedAt + COPY_AGE_MILLISECONDS)
+    const unclearCopies = runs.listCopies(fingerprint).filter(({ record, startedAt }) => now - startedAt > COPY_AGE_MILLISECONDS && this.#getAliveAt(record) < startedAt + COPY_AGE_MILLISECONDS && !this.#wasUnclear(record))
     await Promise.all(unclearCopies.map(({ record }) => this.checkUpstream(record)))
   }
 
@@ -137,17 +144,28 @@
     return performance.now() - this.#getAliveAt(record) < milliseconds
   }
 
+  #wasUnclear (record: UpstreamRecord): boolean {
+    return performance.now() - (this.#unclearAt.get(getIncarnation(record)) ?? Number.NEGATIVE_INFINITY) < UNCLEAR_MILLISECONDS
+  }
+
   #getAliveAt (record: UpstreamRecord): number {
     return this.#aliveAt.get(getIncarnation(record)) ?? Number.NEGATIVE_INFINITY
   }
 
   async #checkOnce (record: UpstreamRecord, incarnation: string): Promise<void> {
     const { known } = this.#options
-    const hasEnded = this.#ended.get(incarnation) === true || known.upstreams.isReplaced(record)
-    const isAlive = !hasEnded && await this.#probe(record.address) !== ListenerState.Unreachable
+    const state = known.upstreams.isReplaced(record) ? ListenerState.Refused : await this.#probe(record.address)
     // Another start of the upstream may have been announced meanwhile, at the same address.
-    if (isAlive && !known.upstreams.isReplaced(record)) this.recordAlive(record)
-    else this.#recordEnd(record, incarnation)
+    if (state === ListenerState.Refused || known.upstreams.isReplaced(record)) this.#recordEnd(record, incarnation)
+    else if (state === ListenerState.Open || state === ListenerState.ClosedEarly) this.recordAlive(record)
+    else this.#recordUnclear(record, incarnation)
+  }
+
+  /** Records that it is not known whether an upstream has ended. Its runs are remembered for longer, as a later start may show that it had. */
+  #recordUnclear (record: UpstreamRecord, incarnation: string): void {
+    this.#unclearAt.set(incarnation, performance.now())
+    this.#options.runs.retain(incarnation)
+    this.#options.log.info('upstream-unclear', { step: Step.Dispatch, peer: record.address, upstream: incarnation })
   }
 
   /** @returns what a connection showed; {@link ListenerState.ClosedEarly} when several ones were closed soon */
@@ -164,7 +182,7 @@
   #recordEnd (record: UpstreamRecord, incarnation: string): void {
     const { runs, crashes, known, onChange, saveLosses, log } = this.#options
     if ((known.isLeaving(record) || isLeaving(known.upstreams.get(record.id)?.record, record.bornAt)) && !known.upstreams.isReplaced(record)) return
-    this.#ended.set(incarnation, true)
+    this.#endedAt.set(incarnation, performance.now())
     const fingerprints = runs.listFingerprints(incarnation)
     const { revision } = crashes
     crashes.recordLoss(incarnation, fingerprints)
--- a/src/entry/UpstreamRuns.ts
+++ b/src/entry/UpstreamRuns.ts
@@ -3,6 +3,8 @@
 
 /** Time during which a run without a whole answer counts as a possible cause when its upstream turns out to have ended. */
 const RETENTION_MILLISECONDS = 5_000
+/** The same for a run whose upstream could not be reached: its end becomes known only after a partition, which lasts some seconds. */
+const UNREACHABLE_RETENTION_MILLISECONDS = 30_000
 /** Time during which a request that ran completely counts as harmless. */
 const PROVEN_MILLISECONDS = 600_000
 const MINIMUM_PROVEN_FINGERPRINTS = 10_000
@@ -16,6 +18,8 @@
   isWritten: boolean
   /** Whether this host still waits for the answer. */
   isInFlight: boolean
+  /** Time on the clock of `performance.now()` until which it is remembered after this host stopped waiting. */
+  retainedUntil: number
 }
 
 /** Runs of this host's requests at upstreams that are in flight, or ended lately without a whole answer. */
@@ -32,7 +36,7 @@
    * @param isWritten - whether its first byte was written already; otherwise the caller sets it on the run
    */
   begin (fingerprint: string, record: UpstreamRecord, isWritten = true): UpstreamRun {
-    const run: UpstreamRun = { fingerprint, record, startedAt: performance.now(), isWritten, isInFlight: true }
+    const run: UpstreamRun = { fingerprint, record, startedAt: performance.now(), isWritten, isInFlight: true, retainedUntil: 0 }
     this.#runs.add(run)
     const copies = this.#runsByFingerprint.get(fingerprint)
     if (copies === undefined) this.#runsByFingerprint.set(fingerprint, new Set([run]))
@@ -57,7 +61,20 @@
   /** Records that this host no longer waits for a run, though it may go on. */
   abandon (run: UpstreamRun): void {
     run.isInFlight = false
-    setTimeout(() => { this.discard(run) }, RETENTION_MILLISECONDS).unref()
+    run.retainedUntil = Math.max(run.retainedUntil, performance.now() + RETENTION_MILLISECONDS)
+    this.#discardWhenDue(run)
+  }
+
+  /** Remembers the runs of an upstream that could not be reached for longer. */
+  retain (incarnation: string): void {
+    const retainedUntil = performance.now() + UNREACHABLE_RETENTION_MILLISECONDS
+    for (const run of this.#runs) if (getIncarnation(run.record) === incarnation) run.retainedUntil = retainedUntil
+  }
+
+  #discardWhenDue (run: UpstreamRun): void {
+    const remainingMilliseconds = run.retainedUntil - performance.now()
+    if (remainingMilliseconds <= 0) return this.discard(run)
+    setTimeout(() => { this.#discardWhenDue(run) }, remainingMilliseconds).unref()
   }
 
   /** @returns whether the request ran completely lately */
--- a/src/entry/UpstreamSender.ts
+++ b/src/entry/UpstreamSender.ts
@@ -76,7 +76,7 @@
     load.start()
     const endLoad = once(() => { load.end() })
     try {
-      const answer = await this.#exchange(request, record, () => { run.isWritten = true }, () => {
+      const answer = await this.#exchange(request, run, () => { run.isWritten = true }, () => {
         endLoad()
         attempt.onArrived()
       })
@@ -110,7 +110,7 @@
       .finally(onSettled)
   }
 
-  #exchange (request: EntryRequest, record: UpstreamRecord, onWrite: () => void, onArrived: () => void): Promise<ExchangeAnswer> {
+  #exchange (request: EntryRequest, { record, startedAt }: UpstreamRun, onWrite: () => void, onArrived: () => void): Promise<ExchangeAnswer> {
     const { connections, protocol, answerBufferBytes, answerBudget, stopWindow, detector, counters, log } = this.#options
     return exchange(connections.to(record), {
       peer: record.address,
@@ -134,7 +134,7 @@
       onHead: (head) => { this.#recordNotice(request, record, head) },
       mayWrite: () => stopWindow.admits(request.deadline) && this.#canStillUse(record),
       onWrite,
-      confirmEnd: createEndConfirmation({ id: request.id, peer: record.address, onArrived, isAlive: () => detector.isAlive(record), counters, log })
+      confirmEnd: createEndConfirmation({ id: request.id, peer: record.address, onArrived, isAlive: () => detector.isAlive(record, startedAt), counters, log })
     })
   }
 
