--- a/__tests__/platform/lateOrder.test.ts
+++ b/__tests__/platform/lateOrder.test.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { connect } from 'node:net'
 import { after, before, test } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { composePlan } from '../../examples/platform/composePlan.js'
@@ -10,6 +12,8 @@
 const FROZEN_HOST = 2
 /** An operator waits for an answer for so long. */
 const OPERATOR_TIMEOUT_MILLISECONDS = 1_000
+/** Round trip between an operator and a control host. */
+const ROUND_TRIP_MILLISECONDS = 6
 /** Time in which an order that was carried out late would reach the entry hosts. */
 const WATCH_MILLISECONDS = 3_000
 
@@ -49,3 +53,19 @@
   await sleep(WATCH_MILLISECONDS)
   assert.equal((await sendGuestRequest(system.guestAddress, '/lookups/2', 'a-1')).status, 503, 'the failure domain is evacuated')
 })
+
+// Guards against a control host that carries out a copy that a cut link held up: the end of its connection comes one round trip behind it.
+test('a late copy of an order does not take back a later evacuation when its connection ends a round trip behind it', { timeout: 60_000 }, async () => {
+  const address = system.getControlAddress(0)
+  const [host, port] = address.split(':')
+  await order('begin')
+  const late = connect(Number(port), host)
+  await once(late, 'connect')
+  await order('finish')
+  await order('begin')
+  late.resume().write(`POST /evacuations/oviedo/finish HTTP/1.1\r\nhost: ${address}\r\ncontent-length: 0\r\n\r\n`)
+  await sleep(ROUND_TRIP_MILLISECONDS)
+  late.end()
+  await sleep(WATCH_MILLISECONDS)
+  assert.equal((await sendGuestRequest(system.guestAddress, '/lookups/3', 'a-2')).status, 503, 'the failure domain is evacuated')
+})
--- a/src/plan/PlanRegistry.ts
+++ b/src/plan/PlanRegistry.ts
@@ -3,8 +3,11 @@
 import type { Log } from '../observe/Log.js'
 import type { IsCallerWaiting } from '../types/IsCallerWaiting.js'
 import { Step } from '../types/Step.js'
+import { getElapsedMilliseconds, readClocks, type ClockReading } from '../utils/ClockReading.js'
+import { pause } from '../utils/pause.js'
 import { checkPlan } from './checkPlan.js'
 import { PlanEntryKind, type EvacuationEntry, type PlanEntry, type PlanSubmission } from './PlanEntry.js'
+import { computeSettleTime, isOrderExpired } from './orderTimes.js'
 import type { PlanFault } from './PlanFault.js'
 import { PlanResult } from './PlanResult.js'
 import type { PlanState } from './PlanState.js'
@@ -57,7 +60,8 @@
   /**
    * Stops new work for the upstreams of a failure domain, or allows it again. The order is based on the evacuations that this
    * host knows, and on a caller that waits for it after that, so a host that was frozen or cut off carries out no order whose
-   * caller has been answered by another host in the meantime.
+   * caller has been answered by another host in the meantime. An order that changes the evacuations waits for the end of its
+   * caller's connection, which comes behind an order that was held up on the way.
    *
    * @param domain - failure domain
    * @param isEvacuated - whether its upstreams get no new work from now on
@@ -65,11 +69,12 @@
    */
   async evacuate (domain: string, isEvacuated: boolean, isCallerWaiting: IsCallerWaiting = alwaysWaiting): Promise<PlanResult> {
     const kind = isEvacuated ? PlanEntryKind.Evacuate : PlanEntryKind.Return
+    const arrivedAt = readClocks()
     let result = PlanResult.OtherBase
     for (let attempt = 0; attempt < MAXIMUM_EVACUATION_ATTEMPTS && result === PlanResult.OtherBase; attempt += 1) {
-      result = await this.#evacuateOnce(kind, domain, isCallerWaiting)
+      result = await this.#evacuateOnce({ kind, domain }, arrivedAt, isCallerWaiting)
     }
-    this.#options.log.info('evacuation-ordered', { step: Step.PlanSubmit, domain, evacuated: isEvacuated, result })
+    this.#options.log.info('evacuation-ordered', { step: Step.PlanSubmit, domain, evacuated: isEvacuated, result, age: Math.round(getElapsedMilliseconds(arrivedAt)) })
     return result
   }
 
@@ -85,15 +90,21 @@
     return (await this.#proposeOrder({ kind: PlanEntryKind.Submit, submission })).result
   }
 
-  async #evacuateOnce (kind: EvacuationEntry['kind'], domain: string, isCallerWaiting: IsCallerWaiting): Promise<PlanResult> {
+  async #evacuateOnce (order: Pick<EvacuationEntry, 'kind' | 'domain'>, arrivedAt: ClockReading, isCallerWaiting: IsCallerWaiting): Promise<PlanResult> {
+    const settleTime = computeSettleTime(getElapsedMilliseconds(arrivedAt), this.#isChange(order))
+    if (settleTime > 0) await pause(settleTime)
     // The revision is read before the caller is checked: an order that another host has accepted since makes it an old one.
     const baseRevision = this.#options.state.evacuationRevision
-    if (!await isCallerWaiting()) return PlanResult.Abandoned
-    const { result, index } = await this.#proposeOrder({ kind, domain, baseRevision })
+    if (!await isCallerWaiting() || isOrderExpired(getElapsedMilliseconds(arrivedAt))) return PlanResult.Abandoned
+    const { result, index } = await this.#proposeOrder({ ...order, baseRevision })
     if (result === PlanResult.OtherBase && index !== undefined && !await this.#options.waitApplied(index)) return PlanResult.Unknown
     return result
   }
 
+  #isChange ({ kind, domain }: Pick<EvacuationEntry, 'kind' | 'domain'>): boolean {
+    return this.#options.state.evacuated.includes(domain) !== (kind === PlanEntryKind.Evacuate)
+  }
+
   async #proposeOrder (entry: PlanEntry): Promise<{ result: PlanResult, index?: number }> {
     const { outcome, reason, result = PlanResult.Unknown, index } = await this.#options.propose(entry)
     if (outcome === ProposalOutcome.Committed) return { result, index }
