Let budgets have a separate burst, a rounding allowance and a longer demand window

Quotas of client accounts are budgets of which a control host spends rarely, and whose burst comes on top of the rate. The bucket of a host holds its part of the burst and a fixed allowance, refills at the full rate of its part, and begins with one unit, as an earlier run of the host may have spent the burst. A lowered budget lowers each lease in proportion. Small rates are not rounded up to whole units per second, and the random variation of few requests is added to the measured demand. Budgets without these fields behave as before.

--- a/src/limits/BudgetLeaseClient.ts
+++ b/src/limits/BudgetLeaseClient.ts
@@ -63,6 +63,27 @@
     return false
   }
 
+  /**
+   * Spends as much of an amount as this host's part of a budget has, in whole units. It is not counted as demand.
+   *
+   * @returns the amount spent; 0 for an unknown budget
+   */
+  spendUpTo (budget: string, amount: number): number {
+    const spent = this.#budgetsByName.get(budget)?.spendUpTo(amount) ?? 0
+    if (spent < amount) this.#hasRefusedSpend = true
+    return spent
+  }
+
+  /** @returns whole amounts that this host may spend now from its part of a budget; 0 for an unknown budget */
+  available (budget: string): number {
+    return this.#budgetsByName.get(budget)?.available ?? 0
+  }
+
+  /** @returns milliseconds until this host's part of a budget has an amount, by its present or its even share; 0 for an unknown budget */
+  computeWait (budget: string, amount: number): number {
+    return this.#budgetsByName.get(budget)?.computeWait(amount) ?? 0
+  }
+
   /** Adds an amount to the demand that was refused elsewhere before {@link trySpend} was called. */
   recordDemand (budget: string, amount: number): void {
     this.#budgetsByName.get(budget)?.recordDemand(amount)
@@ -153,7 +174,7 @@
   #listDemands (): LeaseDemand[] {
     return [...this.#budgetsByName].map(([budget, leasedBudget]) => ({
       budget,
-      wantedPerSecond: Math.ceil(leasedBudget.wantedPerSecond),
+      wantedPerSecond: Math.ceil(leasedBudget.wantedPerSecond * leasedBudget.wantedStepsPerUnit) / leasedBudget.wantedStepsPerUnit,
       heldPerSecond: leasedBudget.heldPerSecond,
       lentPerSecond: this.#lendSpare(leasedBudget)
     }))
--- a/src/limits/BudgetLeases.ts
+++ b/src/limits/BudgetLeases.ts
@@ -53,6 +53,26 @@
     return this.#rolesByScope.get(scope)?.client.trySpend(budget, amount) ?? true
   }
 
+  /**
+   * Spends as much of an amount as the local host's part of a budget has, in whole units. The demand is recorded apart from it,
+   * see {@link recordDemand}, as an amount may be spent in advance.
+   *
+   * @returns the amount spent; 0 for an unknown scope or budget
+   */
+  spendUpTo (scope: string, budget: string, amount: number): number {
+    return this.#rolesByScope.get(scope)?.client.spendUpTo(budget, amount) ?? 0
+  }
+
+  /** @returns whole amounts that the local host may spend now from its part of a budget; 0 for an unknown scope or budget */
+  available (scope: string, budget: string): number {
+    return this.#rolesByScope.get(scope)?.client.available(budget) ?? 0
+  }
+
+  /** @returns milliseconds until the local host's part of a budget has an amount, while it has at least its even share */
+  computeWait (scope: string, budget: string, amount: number): number {
+    return this.#rolesByScope.get(scope)?.client.computeWait(budget, amount) ?? 0
+  }
+
   /** Adds an amount to the demand that was refused before {@link trySpend} was called, so that leases follow the full demand. */
   recordDemand (scope: string, budget: string, amount: number): void {
     this.#rolesByScope.get(scope)?.client.recordDemand(budget, amount)
--- a/src/limits/LeasedBudget.ts
+++ b/src/limits/LeasedBudget.ts
@@ -16,9 +16,10 @@
  * A loan cannot be ended early, as other hosts may spend from it until its end.
  */
 export class LeasedBudget {
-  readonly #demandMeter = new DemandMeter()
+  readonly #demandMeter: DemandMeter
   readonly #tokenBucket: TokenBucket
   readonly #consumerCount: number
+  #budget: Budget
   #staticRate = 0
   #leaseRate = 0
   #leaseEndsAt = -Infinity
@@ -30,14 +31,20 @@
    */
   constructor (budget: Budget, consumerCount: number) {
     this.#consumerCount = consumerCount
+    this.#budget = budget
+    this.#demandMeter = new DemandMeter(budget.demandWindowMilliseconds)
     this.#tokenBucket = new TokenBucket(budget.unit, budget.catchUpSeconds)
     this.resize(budget)
-    this.#tokenBucket.fill()
+    // An earlier run of this host may have spent a separate burst a moment ago.
+    this.#tokenBucket.fill(budget.burst === undefined ? undefined : budget.unit)
   }
 
   /** Adapts the static share and the lease to a changed budget. */
   resize (budget: Budget): void {
     this.#removeEnded()
+    // Leases that were granted of a larger budget add up to less than the lowered one only if each is lowered in proportion.
+    if (budget.burst !== undefined && budget.amountPerSecond < this.#budget.amountPerSecond) this.#leaseRate *= budget.amountPerSecond / this.#budget.amountPerSecond
+    this.#budget = budget
     this.#staticRate = budget.amountPerSecond * computeStaticFraction(this.#consumerCount) / this.#consumerCount
     this.#leaseRate = Math.min(this.#leaseRate, budget.amountPerSecond - this.#staticRate)
     this.#updateBucketRate()
@@ -49,6 +56,17 @@
     return this.#tokenBucket.rate
   }
 
+  /** Whole amounts that may be spent now. */
+  get available (): number {
+    this.#removeEnded()
+    return Math.max(0, Math.floor(this.#tokenBucket.balance))
+  }
+
+  /** Number of steps per unit to which wanted rates are rounded up: budgets with a separate burst may be below one unit per second. */
+  get wantedStepsPerUnit (): number {
+    return this.#budget.burst === undefined ? 1 : 100
+  }
+
   /** Amount per second of the lease; 0 when none runs. */
   get heldPerSecond (): number {
     this.#removeEnded()
@@ -58,7 +76,7 @@
   /** Amount per second that the host would spend in excess of the part of its static share that is not lent. */
   get wantedPerSecond (): number {
     this.#removeEnded()
-    return Math.max(0, this.#demandMeter.readPerSecond() * DEMAND_HEADROOM_FACTOR - this.#computeRetainedRate())
+    return Math.max(0, this.#estimateDemand() * DEMAND_HEADROOM_FACTOR - this.#computeRetainedRate())
   }
 
   /**
@@ -68,7 +86,7 @@
   get sparePerSecond (): number {
     if (this.#consumerCount === 1) return 0
     this.#removeEnded()
-    const retainedPerSecond = Math.max(this.#demandMeter.readPerSecond() * DEMAND_HEADROOM_FACTOR, this.#staticRate * MINIMUM_RETAINED_FRACTION)
+    const retainedPerSecond = Math.max(this.#estimateDemand() * DEMAND_HEADROOM_FACTOR, this.#staticRate * MINIMUM_RETAINED_FRACTION)
     return Math.min(this.#staticRate, Math.max(this.#computeLentRate(), this.#staticRate - retainedPerSecond))
   }
 
@@ -112,6 +130,23 @@
     return true
   }
 
+  /**
+   * Spends as much of an amount as is available, in whole units. It is not counted as demand, see {@link recordDemand}.
+   *
+   * @returns the amount spent
+   */
+  spendUpTo (amount: number): number {
+    const spent = this.rate > 0 ? Math.min(amount, this.available) : 0
+    this.#tokenBucket.spend(spent)
+    return spent
+  }
+
+  /** @returns milliseconds until an amount is available, while this host has at least its even share of the budget */
+  computeWait (amount: number): number {
+    const evenRate = this.#budget.amountPerSecond / this.#consumerCount
+    return Math.max(0, amount - this.#tokenBucket.balance) / Math.max(this.rate, evenRate) * 1000
+  }
+
   /** Just before a lease ends, as other hosts may get it then. */
   #mayCatchUp (): boolean {
     return this.#leaseRate === 0 || this.#leaseEndsAt - performance.now() > WINDOW_MILLISECONDS
@@ -130,7 +165,26 @@
   }
 
   #updateBucketRate (at?: number): void {
-    this.#tokenBucket.setRate(this.#computeRetainedRate() + this.#leaseRate, at)
+    const rate = this.#computeRetainedRate() + this.#leaseRate
+    this.#tokenBucket.setRate(rate, at, this.#computeBurst(rate))
+  }
+
+  #computeBurst (rate: number): number | undefined {
+    const { burst, roundingAllowance = 0, amountPerSecond, unit } = this.#budget
+    if (burst === undefined || amountPerSecond === 0) return burst
+    return Math.max(unit, burst * rate / amountPerSecond + roundingAllowance)
+  }
+
+  /**
+   * Amount per second that the host may be asked for. The few requests of a small part vary by about the square root of their
+   * number, so that a part of just the measured demand would often not suffice.
+   */
+  #estimateDemand (): number {
+    const measuredPerSecond = this.#demandMeter.readPerSecond()
+    const { demandWindowMilliseconds, unit } = this.#budget
+    if (demandWindowMilliseconds === undefined) return measuredPerSecond
+    const seconds = demandWindowMilliseconds / 1000
+    return measuredPerSecond + Math.sqrt(measuredPerSecond * seconds / unit + 1) * unit / seconds
   }
 
   #computeLentRate (): number {
--- a/src/limits/TokenBucket.ts
+++ b/src/limits/TokenBucket.ts
@@ -11,6 +11,8 @@
  * at least twice the unit and no single amount exceeds the burst. Otherwise the excess is at most one unit or one such
  * amount; it leaves a negative balance, which is refilled before anything else can be spent.
  *
+ * A bucket with a separate burst refills at the full rate instead: any period has at most the burst plus the rate.
+ *
  * A bucket that may catch up also keeps what it was refilled with while its process stood still, if a spend was refused
  * before. No window of {@link WINDOW_MILLISECONDS} then has more than the rate of one second.
  */
@@ -19,6 +21,8 @@
   readonly #catchUpSeconds: number
   readonly #spendWindow: SpendWindow | undefined
   #rate = 0
+  /** Burst on top of the rate; undefined when the burst is part of the rate. */
+  #separateBurst: number | undefined
   #tokens = 0
   #refilledAt = performance.now()
   #refusedAt = -Infinity
@@ -41,7 +45,13 @@
 
   /** Maximum number of tokens, reached while nothing is spent. */
   get burst (): number {
-    return computeBurst(this.#rate, this.#unit)
+    return this.#separateBurst ?? computeBurst(this.#rate, this.#unit)
+  }
+
+  /** Number of tokens now; negative after a spend beyond the balance. */
+  get balance (): number {
+    this.#refill(performance.now())
+    return this.#tokens
   }
 
   /**
@@ -49,16 +59,22 @@
    *
    * @param rate - new amount per second
    * @param at - time of the change on the monotonic clock; must not precede earlier changes
+   * @param separateBurst - maximum number of tokens on top of the rate, at which the bucket then refills; by default the burst is part of the rate
    */
-  setRate (rate: number, at = performance.now()): void {
+  setRate (rate: number, at = performance.now(), separateBurst?: number): void {
     this.#refill(at)
     this.#rate = rate
+    this.#separateBurst = separateBurst
     this.#tokens = Math.min(this.#tokens, this.burst + rate * this.#catchUpSeconds)
   }
 
-  /** Fills the bucket up to the burst. */
-  fill (): void {
-    this.#tokens = this.burst
+  /**
+   * Sets the number of tokens.
+   *
+   * @param tokens - number of tokens, at most the burst; by default the burst
+   */
+  fill (tokens = this.burst): void {
+    this.#tokens = Math.min(tokens, this.burst)
   }
 
   /**
@@ -105,7 +121,7 @@
 
   #refill (now: number): void {
     const seconds = Math.max(0, now - this.#refilledAt) / 1000
-    const refillRate = computeRefillRate(this.#rate, this.#unit)
+    const refillRate = this.#separateBurst === undefined ? computeRefillRate(this.#rate, this.#unit) : this.#rate
     this.#tokens = Math.max(this.#tokens, Math.min(this.#computeCapacity(), this.#tokens + seconds * refillRate))
     if (this.#tokens > this.burst) this.#caughtUpAt = now
     this.#refilledAt = Math.max(now, this.#refilledAt)
