Divide what no client wants of a budget with a separate burst

The parts of the burst follow the rates of the hosts. An idle account had hardly any leases, so that a burst within its limit was refused. Budgets without a separate burst keep the unwanted part as before.

--- a/src/limits/LeaseTable.ts
+++ b/src/limits/LeaseTable.ts
@@ -83,12 +83,19 @@
     loans.set(client, { amountPerSecond: demand.lentPerSecond, endsAt: times.lendEndsAt })
     const budgetPerSecond = this.#budgetsByName.get(demand.budget)?.amountPerSecond ?? 0
     const leasablePerSecond = Math.min(budgetPerSecond, budgetPerSecond * (1 - computeStaticFraction(this.#consumerCount)) + sumAmounts(loans))
-    const desiredPerSecond = isRenewOnly ? demand.heldPerSecond : computeFairAmount(leasablePerSecond, demand.wantedPerSecond, [...leases.values()])
+    const desiredPerSecond = isRenewOnly ? demand.heldPerSecond : computeFairAmount(leasablePerSecond, demand.wantedPerSecond, [...leases.values()]) + this.#computeSpareAmount(leasablePerSecond, demand, leases)
     const amountPerSecond = Math.max(0, Math.min(desiredPerSecond, leasablePerSecond - sumAmounts(leases)))
     const recordedPerSecond = Math.max(amountPerSecond, demand.heldPerSecond)
     leases.set(client, { amountPerSecond: recordedPerSecond, wantedPerSecond: demand.wantedPerSecond, endsAt: times.leaseEndsAt })
     return isRenewOnly && amountPerSecond < demand.heldPerSecond ? undefined : { budget: demand.budget, amountPerSecond }
   }
+
+  /** The parts of a separate burst follow the rates of the hosts, so that what no client wants is divided evenly instead of kept. */
+  #computeSpareAmount (leasablePerSecond: number, { budget, wantedPerSecond }: LeaseDemand, otherLeases: ReadonlyMap<string, RecordedLease>): number {
+    if (this.#budgetsByName.get(budget)?.burst === undefined) return 0
+    const wantedSum = [...otherLeases.values()].reduce((sum, lease) => sum + lease.wantedPerSecond, wantedPerSecond)
+    return Math.max(0, leasablePerSecond - wantedSum) / this.#consumerCount
+  }
 }
 
 function computeFairAmount (leasablePerSecond: number, wantedPerSecond: number, otherLeases: RecordedLease[]): number {
