Share the quotas of client accounts over all hosts

A client account with a limit had no effect so far: nothing counted its requests over the hosts. Control hosts now share the budget of each account by leases, one share per failure domain, and grant tokens to entry hosts. An entry host takes a token before it admits a request, and gives it back if the request reached no upstream. Over the quota the guest gets 429 with the time until there is a token, without an answer of a control host 503. Nothing runs or is sent while no account of the plan has a limit.

--- a/__performance_tests__/placement/createModelHost.ts
+++ b/__performance_tests__/placement/createModelHost.ts
@@ -37,6 +37,7 @@
     known,
     loads,
     admission,
+    quota: { take: async () => ({ isGranted: true, refund: () => {} }) },
     protocol: upstreamProtocol,
     ...createSender({ known, loads, connections: new ModelConnections(network, domain), protocol: upstreamProtocol, answerBufferBytes: 65_536, probe: async () => ListenerState.Open }),
     stopWindow: new StopWindow(),
--- a/__tests__/entry/createRelayFixture.ts
+++ b/__tests__/entry/createRelayFixture.ts
@@ -1,6 +1,7 @@
 import { upstreamProtocol } from '../../platform/wire/upstreamProtocol.js'
 import type { CrashDetectorOptions } from '../../src/entry/CrashDetector.js'
-import { EntryRelay, type EntryRelayOptions } from '../../src/entry/EntryRelay.js'
+import { EntryRelay } from '../../src/entry/EntryRelay.js'
+import type { EntryRelayOptions } from '../../src/entry/EntryRelayOptions.js'
 import { ServiceAdmission } from '../../src/entry/ServiceAdmission.js'
 import { UpstreamConnections } from '../../src/entry/UpstreamConnections.js'
 import { UpstreamLoads } from '../../src/entry/UpstreamLoads.js'
@@ -48,6 +49,7 @@
     known,
     loads,
     admission: new ServiceAdmission(known, loads),
+    quota: { take: async () => ({ isGranted: true, refund: () => {} }) },
     protocol: upstreamProtocol,
     ...parts,
     stopWindow: new StopWindow(),
--- a/__tests__/support/createSender.ts
+++ b/__tests__/support/createSender.ts
@@ -1,6 +1,6 @@
 import { CrashTable } from '../../src/crashes/CrashTable.js'
 import { CrashDetector, type CrashDetectorOptions } from '../../src/entry/CrashDetector.js'
-import type { EntryRelayOptions } from '../../src/entry/EntryRelay.js'
+import type { EntryRelayOptions } from '../../src/entry/EntryRelayOptions.js'
 import { SuspectGate } from '../../src/entry/SuspectGate.js'
 import { UpstreamRuns } from '../../src/entry/UpstreamRuns.js'
 import { UpstreamNotices } from '../../src/entry/UpstreamNotices.js'
--- a/src/control/ControlHostOptions.ts
+++ b/src/control/ControlHostOptions.ts
@@ -2,6 +2,7 @@
 import type { Counters } from '../observe/Counters.js'
 import type { Log } from '../observe/Log.js'
 import type { CallPeer } from '../transport/CallPeer.js'
+import type { QuotaBounds } from '../quota/QuotaBounds.js'
 import type { RegisterPeerHandler } from '../transport/PeerHandler.js'
 
 /** Settings of a control host; those that can change are read at each use. */
@@ -19,6 +20,10 @@
   /** Number of control hosts whose disks may be lost at once; undefined for as many as a complete group bears. */
   toleratedLosses: number | undefined
   announcementMilliseconds: number
+  /** Region of each failure domain; the control hosts of these domains share the quotas of client accounts. */
+  regions?: ReadonlyMap<string, string>
+  /** Tolerances of these quotas; the defaults if absent. */
+  quotaBounds?: QuotaBounds
 }
 
 /** Dependencies of {@link ControlHostProcess}. */
--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -8,6 +8,7 @@
 import type { PlanResult } from '../plan/PlanResult.js'
 import { RestoredPlans } from '../plan/RestoredPlans.js'
 import { PlanState, type StoredPlanState } from '../plan/PlanState.js'
+import type { QuotaDesk } from '../quota/QuotaDesk.js'
 import type { ControlHost } from '../registry/ControlHost.js'
 import { EntryHostTable } from '../registry/EntryHostTable.js'
 import { RegistryOrigin } from '../registry/RegistryMessages.js'
@@ -18,8 +19,10 @@
 import type { ControlHostOptions } from './ControlHostOptions.js'
 import { computeNeededVoters } from './computeNeededVoters.js'
 import { ControlHostTable } from './ControlHostTable.js'
+import { createQuotaDesk } from './createQuotaDesk.js'
+import { createRecoveryFile } from './createRecoveryFile.js'
 import { PlanReplica } from './PlanReplica.js'
-import { RecoveryFile } from './RecoveryFile.js'
+import type { RecoveryFile } from './RecoveryFile.js'
 
 /** Number of announcement periods without an announcement after which an upstream counts as lost. */
 const LOST_ANNOUNCEMENT_PERIODS = 3
@@ -40,6 +43,7 @@
   readonly #stateFeed: StateFeed
   readonly #registrySharer: RegistrySharer
   readonly #recoveryFile: RecoveryFile
+  readonly #quotaDesk: QuotaDesk
   readonly #planSource = new RestoredPlans(this.#planState)
   #startedAt = Number.POSITIVE_INFINITY
 
@@ -53,7 +57,8 @@
     this.#crashes = this.#createCrashExchange()
     this.#stateFeed = this.#createFeed()
     this.#registrySharer = this.#createSharer()
-    this.#recoveryFile = this.#createRecoveryFile()
+    this.#recoveryFile = createRecoveryFile(options, { plans: this.#planSource, upstreams: this.#upstreamTable, registry: this.#registrySharer, crashes: this.#crashes })
+    this.#quotaDesk = createQuotaDesk(options, this.#controlHosts, () => this.#describeSelf())
     this.plans = new PlanRegistry({
       state: this.#planState,
       propose: (entry) => this.#replica.propose(entry),
@@ -96,6 +101,7 @@
     this.#startedAt = performance.now()
     this.#recoveryFile.start()
     this.#stateFeed.open()
+    this.#updateQuotas()
   }
 
   /**
@@ -104,7 +110,7 @@
    * @param finishCalls - waits until calls in flight are answered; a change that was accepted is confirmed before the host stops
    */
   async stop (finishCalls: () => Promise<void> = async () => {}): Promise<void> {
-    await this.#replica.handOver()
+    await Promise.all([this.#replica.handOver(), this.#quotaDesk.stop()])
     await finishCalls()
     this.#registrySharer.stop()
     this.#crashes.stop()
@@ -188,7 +194,7 @@
       callPeer,
       registerHandler,
       listPeers: () => this.#controlHosts.listPeers(),
-      isRemote: (address) => this.#isRemote(address),
+      isRemote: (address) => this.#controlHosts.isInOtherRegion(address, settings().region),
       listVoters: () => this.#replica.listOtherVoters(),
       isVoter: () => this.#replica.isVoter,
       majoritySize: () => this.#replica.majoritySize,
@@ -202,19 +208,6 @@
     })
   }
 
-  #createRecoveryFile (): RecoveryFile {
-    const { settings, files = diskFiles, log } = this.#options
-    return new RecoveryFile({
-      files,
-      folder: settings().dataFolder,
-      describe: () => {
-        const { plan, evacuated, evacuationRevision } = this.#planSource
-        return { plan, evacuated, evacuationRevision, upstreams: this.#upstreamTable.describe(), registry: this.#registrySharer.origin, crashes: this.#crashes.table.changedSince(0) }
-      },
-      log
-    })
-  }
-
   async #restoreState (): Promise<void> {
     const record = await this.#recoveryFile.read()
     if (record === undefined) return
@@ -228,6 +221,12 @@
   #publishChange (): void {
     this.#stateFeed?.notifyChange()
     this.#recoveryFile?.scheduleWrite()
+    this.#updateQuotas()
+  }
+
+  /** Quotas are shared from the start on: before it, the other control hosts can't be called. */
+  #updateQuotas (): void {
+    if (performance.now() >= this.#startedAt) this.#quotaDesk.setAccounts(this.#planSource.plan?.accounts)
   }
 
   #describeSelf (): ControlHost {
@@ -235,11 +234,6 @@
     return { peerAddress, domain, region }
   }
 
-  #isRemote (address: string): boolean {
-    const region = this.#controlHosts.findRegion(address)
-    return region !== undefined && region !== this.#options.settings().region
-  }
-
   #listSeedsAndMembers (): string[] {
     return [...this.#options.settings().seeds, ...this.#replica.status.configuration.members.map(({ address }) => address)]
   }
--- a/src/control/ControlHostTable.ts
+++ b/src/control/ControlHostTable.ts
@@ -30,6 +30,23 @@
     return [...new Set([...this.#listSeedsAndMembers(), ...this.#contactsByAddress.keys()])].filter((address) => address !== this.#localAddress)
   }
 
+  /**
+   * @param maximumSilenceMilliseconds - maximum time since the last message
+   * @returns the other control hosts that sent a message within that time, the latest first
+   */
+  listRecent (maximumSilenceMilliseconds: number): ControlHost[] {
+    const now = performance.now()
+    return [...this.#contactsByAddress.values()]
+      .filter(({ lastContactAt }) => now - lastContactAt <= maximumSilenceMilliseconds)
+      .sort((left, right) => right.lastContactAt - left.lastContactAt)
+      .map(({ host }) => host)
+  }
+
+  /** @returns whether a control host is known to be in another region than the given one */
+  isInOtherRegion (address: string, region: string): boolean {
+    return (this.findRegion(address) ?? region) !== region
+  }
+
   /** @returns region of a control host, undefined until it has sent a message */
   findRegion (address: string): string | undefined {
     return this.#contactsByAddress.get(address)?.host.region
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { CrashSharer } from '../crashes/CrashSharer.js'
 import { CrashTable } from '../crashes/CrashTable.js'
@@ -5,31 +6,26 @@
 import type { CrashReport } from '../crashes/CrashReport.js'
 import { ControlFollower } from '../follow/ControlFollower.js'
 import { KnownState } from '../follow/KnownState.js'
-import type { HostMemory } from '../limits/HostMemory.js'
 import { StopWindow } from '../limits/StopWindow.js'
-import type { Counters } from '../observe/Counters.js'
 import { EventLoopMonitor } from '../observe/EventLoopMonitor.js'
-import type { LatencyBuckets } from '../observe/LatencyBuckets.js'
-import type { Log } from '../observe/Log.js'
 import { recordIdleFailure } from '../observe/recordIdleFailure.js'
 import { recordListenerFault } from '../observe/recordListenerFault.js'
-import type { RetryBound } from '../placement/RetryShare.js'
+import { AccountQuota } from '../quota/AccountQuota.js'
 import type { EntryHost } from '../registry/EntryHost.js'
 import { isGone } from '../registry/UpstreamRecord.js'
 import { HttpListener } from '../transport/HttpListener.js'
-import type { CallPeer } from '../transport/CallPeer.js'
 import { Step } from '../types/Step.js'
 import { waitUntil } from '../utils/waitUntil.js'
 import { CrashDetector } from './CrashDetector.js'
+import type { EntryHostOptions } from './EntryHostOptions.js'
 import { MAXIMUM_BUFFERED_ANSWER_BYTES } from './entryMemoryLimits.js'
 import { EntryRelay } from './EntryRelay.js'
-import { GuestListener, type GuestListenerOptions } from './GuestListener.js'
+import { GuestListener } from './GuestListener.js'
 import { ServiceAdmission } from './ServiceAdmission.js'
 import { SuspectGate } from './SuspectGate.js'
 import { UpstreamConnections } from './UpstreamConnections.js'
 import { UpstreamLoads } from './UpstreamLoads.js'
 import { UpstreamNotices } from './UpstreamNotices.js'
-import type { UpstreamProtocol } from './UpstreamProtocol.js'
 import { UpstreamRuns } from './UpstreamRuns.js'
 import { UpstreamSender } from './UpstreamSender.js'
 
@@ -41,38 +37,6 @@
 /** Part of the stop time that is reserved for closing the remaining connections. */
 const STOP_RESERVE_MILLISECONDS = 400
 
-/** Settings of an entry host; those that can change are read again at each use. */
-export interface EntryHostSettings {
-  name: string
-  domain: string
-  region: string
-  guestAddress: string
-  /** Peer addresses of control hosts. */
-  seeds: string[]
-  /** Region of each failure domain. */
-  regions: Map<string, string>
-  retryBound: RetryBound
-  /** Time within which each host stops to serve withdrawn keys; by default there is no such bound. */
-  revocationMilliseconds?: number | undefined
-  /** Time from the stop signal to the exit of the process. */
-  stopMilliseconds: number
-}
-
-/** Dependencies of an entry host. */
-export interface EntryHostOptions {
-  settings: () => EntryHostSettings
-  protocol: UpstreamProtocol
-  readFields: GuestListenerOptions['readFields']
-  malformedAnswer: (status: number) => string
-  callPeer: CallPeer
-  random: () => number
-  /** Bounds what messages hold. */
-  memory: HostMemory
-  counters: Counters
-  latencies: LatencyBuckets
-  log: Log
-}
-
 /** A host that accepts guests' requests under a routing plan. It stores nothing on disk. */
 export class EntryHostProcess {
   readonly #options: EntryHostOptions
@@ -85,6 +49,7 @@
   readonly #admission = new ServiceAdmission(this.#known, this.#loads)
   readonly #eventLoopMonitor: EventLoopMonitor
   readonly #follower: ControlFollower
+  readonly #quota: AccountQuota
   readonly #crashSharer: CrashSharer
   readonly #crashDetector: CrashDetector
   readonly #listener: HttpListener
@@ -97,6 +62,7 @@
     this.#options = options
     this.#eventLoopMonitor = new EventLoopMonitor(options.log, options.counters)
     this.#follower = this.#createFollower()
+    this.#quota = this.#createQuota()
     this.#crashSharer = this.#createCrashSharer()
     this.#crashDetector = new CrashDetector({ runs: this.#runs, crashes: this.#crashes, known: this.#known, onChange: () => { this.#crashSharer.share() }, saveLosses: (revision) => this.#crashSharer.save(revision), log: options.log })
     const guestListener = new GuestListener({ ...options, revocationMilliseconds: () => options.settings().revocationMilliseconds, known: this.#known, relay: this.#createRelay(), stopWindow: this.#stopWindow, bodies: options.memory.bodies })
@@ -179,6 +145,14 @@
     })
   }
 
+  #createQuota (): AccountQuota {
+    const listControlHosts = (): string[] => {
+      const { followedAddress } = this.#follower
+      return [...followedAddress === undefined ? [] : [followedAddress], ...this.#follower.rankControlHosts()]
+    }
+    return new AccountQuota({ ...this.#options, client: `${this.#options.settings().name}:${randomUUID()}`, listControlHosts })
+  }
+
   #createRelay (): EntryRelay {
     const { settings, protocol, random, callPeer, counters, latencies, log } = this.#options
     return new EntryRelay({
@@ -187,6 +161,7 @@
       known: this.#known,
       loads: this.#loads,
       admission: this.#admission,
+      quota: this.#quota,
       protocol,
       gate: new SuspectGate({ crashes: this.#crashes, detector: this.#crashDetector, listControlHosts: () => this.#follower.listControlHosts(), callPeer, log }),
       runs: this.#runs,
@@ -236,6 +211,7 @@
   #applyPlan (): void {
     const { plan } = this.#known
     if (plan === undefined) return
+    this.#quota.retain(plan.accounts ?? [])
     this.#listener.setIdleTimeout(plan.limits.idleTimeoutMilliseconds)
     this.#options.log.info('plan-in-force', { step: Step.Follow, version: plan.version, routes: plan.routes.length })
   }
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -1,15 +1,10 @@
 import { errorTexts } from '../errors/errorTexts.js'
 import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
-import type { KnownState } from '../follow/KnownState.js'
-import type { StopWindow } from '../limits/StopWindow.js'
-import type { Counters } from '../observe/Counters.js'
 import { retryCounter } from '../observe/declareCounters.js'
-import type { LatencyBuckets } from '../observe/LatencyBuckets.js'
-import type { Log } from '../observe/Log.js'
 import { AdmissionResult } from '../placement/AdmissionQueue.js'
 import { choosePlacement } from '../placement/choosePlacement.js'
 import { ColdShare } from '../placement/ColdShare.js'
-import { RetryShare, type RetryBound } from '../placement/RetryShare.js'
+import { RetryShare } from '../placement/RetryShare.js'
 import { pickTarget } from '../plan/pickTarget.js'
 import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
 import { discardAnswer } from '../relay/discardAnswer.js'
@@ -17,7 +12,6 @@
 import { fingerprintRequest } from '../relay/fingerprintRequest.js'
 import { answerUnknown, refuse } from '../relay/refuse.js'
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
-import { recordAnswer } from './recordAnswer.js'
 import { Outcome } from '../types/Outcome.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { RequestClass } from '../types/RequestClass.js'
@@ -25,43 +19,20 @@
 import { once } from '../utils/once.js'
 import { combineHomeRegions } from './combineHomeRegions.js'
 import { createAdmissionRequest } from './createAdmissionRequest.js'
+import type { EntryRelayOptions } from './EntryRelayOptions.js'
 import type { EntryRequest } from './EntryRequest.js'
 import { listCandidates, type PlacementCandidate } from './listCandidates.js'
+import { recordAnswer } from './recordAnswer.js'
+import { refuseOverQuota } from './refuseOverQuota.js'
 import { RequestProgress } from './RequestProgress.js'
-import type { ServiceAdmission } from './ServiceAdmission.js'
-import type { SuspectGate } from './SuspectGate.js'
-import type { UpstreamLoads } from './UpstreamLoads.js'
-import { AnswerKind, type UpstreamProtocol } from './UpstreamProtocol.js'
-import type { UpstreamRuns } from './UpstreamRuns.js'
-import type { ClassifiedAnswer, UpstreamSender } from './UpstreamSender.js'
+import { AnswerKind } from './UpstreamProtocol.js'
+import type { ClassifiedAnswer } from './UpstreamSender.js'
 
 /** Maximum number of failed attempts to connect for one request: they send nothing, but take time. */
 const MAXIMUM_FAILED_CONNECTS = 3
 /** Minimum time left for another attempt: an upstream could not answer within less. */
 const MINIMUM_ATTEMPT_MILLISECONDS = 50
 
-/** Dependencies of an entry relay. */
-export interface EntryRelayOptions {
-  hostName: string
-  region: string
-  known: KnownState
-  loads: UpstreamLoads
-  admission: ServiceAdmission
-  protocol: UpstreamProtocol
-  gate: Pick<SuspectGate, 'enter' | 'isSuspect'>
-  runs: Pick<UpstreamRuns, 'isProven'>
-  sender: UpstreamSender
-  stopWindow: StopWindow
-  retryBound: () => RetryBound
-  regionOf: (domain: string) => string | undefined
-  random: () => number
-  counters: Counters
-  latencies: LatencyBuckets
-  /** @returns longest recent delay of the event loop, in milliseconds */
-  loopLateMilliseconds: () => number
-  log: Log
-}
-
 /** Sends guests' requests directly from the entry host to upstreams, and retries them where that is allowed. */
 export class EntryRelay {
   readonly #options: EntryRelayOptions
@@ -84,11 +55,25 @@
     const service = pickTarget(route.targets, this.#options.random())
     const progress = new RequestProgress(service, fingerprintRequest({ scope: route.host, method: request.method, path: request.path, body: request.body }))
     this.#getRetryShare(service).recordRequest(performance.now())
-    const answer = await this.#admit(request, progress)
+    const answer = await this.#serveWithinQuota(request, progress)
     recordAnswer(this.#options, request, progress, answer)
     return answer
   }
 
+  /** Requests of accounts without a limit, and of none, are not delayed by any call. */
+  async #serveWithinQuota (request: EntryRequest, progress: RequestProgress): Promise<RelayAnswer> {
+    const account = request.access?.account
+    if (account === undefined || account.requestsPerSecond <= 0) return await this.#admit(request, progress)
+    const quotaAnswer = await this.#options.quota.take(account, request.cancelled)
+    progress.quotaMilliseconds = Math.round(performance.now() - request.arrivedAt - request.readMilliseconds)
+    if (!quotaAnswer.isGranted) return refuseOverQuota(quotaAnswer, request.cancelled)
+    try {
+      return await this.#admit(request, progress)
+    } finally {
+      if (progress.hasReachedNone) quotaAnswer.refund()
+    }
+  }
+
   async #admit (request: EntryRequest, progress: RequestProgress): Promise<RelayAnswer> {
     const queue = this.#options.admission.recordArrival(progress.service)
     const admissionResult = await queue.enter(createAdmissionRequest(request, queue.meanHoldMilliseconds, this.#options.stopWindow), request.cancelled)
--- a/src/entry/GuestListener.ts
+++ b/src/entry/GuestListener.ts
@@ -23,6 +23,7 @@
 import type { EntryRequest } from './EntryRequest.js'
 
 const STATUS_UNAVAILABLE = 503
+const STATUS_TOO_MANY = 429
 const STATUS_UNKNOWN = 502
 /** Deadline of a request whose guest sets none. */
 const DEFAULT_DEADLINE_MILLISECONDS = 30_000
@@ -160,7 +161,7 @@
 
   #setRefusalHeaders (response: ServerResponse, { status, retryAfterMilliseconds }: Pick<RelayAnswer, 'status' | 'retryAfterMilliseconds'>, reason: RefusalReason, remainingMilliseconds: number): void {
     response.setHeader('hibiscusrelay-reason', reason)
-    if (status === STATUS_UNAVAILABLE) response.setHeader('retry-after', String(chooseRetryAfter(reason, Math.max(0, remainingMilliseconds), this.#options.random(), retryAfterMilliseconds)))
+    if (status === STATUS_UNAVAILABLE || status === STATUS_TOO_MANY) response.setHeader('retry-after', String(chooseRetryAfter(reason, Math.max(0, remainingMilliseconds), this.#options.random(), retryAfterMilliseconds)))
   }
 
   #refuse (message: IncomingMessage, response: ServerResponse, reason: RefusalReason): void {
--- a/src/entry/RequestProgress.ts
+++ b/src/entry/RequestProgress.ts
@@ -12,6 +12,8 @@
   readonly attemptedUpstreams: string[] = []
   /** Time from its arrival until it was admitted or refused. */
   waitedMilliseconds = 0
+  /** Time that it waited for a token of its account; undefined when it needed none. */
+  quotaMilliseconds: number | undefined
   /** Number of upstreams that the last attempt could choose from. */
   candidateCount = 0
   /** Utilization of the last chosen upstream, or of the first candidate if none was chosen, in percent of its slots. */
@@ -58,6 +60,11 @@
     this.utilizationPercent = reportedCandidate === undefined ? undefined : Math.round(reportedCandidate.utilization * 100)
   }
 
+  /** Whether no attempt can have reached an upstream: each that was begun failed to connect. */
+  get hasReachedNone (): boolean {
+    return this.sendCount === 0 && this.failedConnectCount === this.attemptedUpstreams.length
+  }
+
   /** Records the start of an attempt at an upstream. */
   recordAttempt (upstream: string): void {
     this.excludedUpstreams.add(upstream)
--- a/src/entry/recordAnswer.ts
+++ b/src/entry/recordAnswer.ts
@@ -41,6 +41,7 @@
     tried: progress.attemptedUpstreams.join(','),
     object: request.objectKey,
     read: Math.round(request.readMilliseconds),
+    quota: progress.quotaMilliseconds,
     waited: progress.waitedMilliseconds,
     candidates: progress.candidateCount,
     rank: progress.rank,
--- a/src/follow/ControlFollower.ts
+++ b/src/follow/ControlFollower.ts
@@ -87,6 +87,11 @@
     return this.#ranking.listAddresses()
   }
 
+  /** @returns peer addresses of all known control hosts, those that it would prefer to follow first */
+  rankControlHosts (): string[] {
+    return this.#ranking.rank()
+  }
+
   /** Follows control hosts until {@link stop}. */
   async run (): Promise<void> {
     this.#isRunning = true
--- a/src/hibiscusrelay.ts
+++ b/src/hibiscusrelay.ts
@@ -127,8 +127,10 @@
 
 // Entry hosts that follow a routing plan, and their decisions on placement and retries.
 export { ENTRY_MEMORY_LIMITS } from './entry/entryMemoryLimits.js'
-export { EntryHostProcess, type EntryHostOptions, type EntryHostSettings } from './entry/EntryHostProcess.js'
-export { EntryRelay, type EntryRelayOptions } from './entry/EntryRelay.js'
+export type { EntryHostOptions, EntryHostSettings } from './entry/EntryHostOptions.js'
+export { EntryHostProcess } from './entry/EntryHostProcess.js'
+export { EntryRelay } from './entry/EntryRelay.js'
+export type { EntryRelayOptions } from './entry/EntryRelayOptions.js'
 export type { EntryRequest } from './entry/EntryRequest.js'
 export type { GuestFields } from './entry/GuestListener.js'
 export { AnswerKind, type UpstreamProtocol } from './entry/UpstreamProtocol.js'
--- a/src/observe/declareCounters.ts
+++ b/src/observe/declareCounters.ts
@@ -2,6 +2,7 @@
 import { RefusalReason } from '../types/RefusalReason.js'
 import { RepeatedAnswer } from '../relay/RepeatedAnswer.js'
 import { RetryReason } from '../types/RetryReason.js'
+import { QuotaCounter } from '../quota/QuotaCounter.js'
 import { Outcome } from '../types/Outcome.js'
 import type { Counters } from './Counters.js'
 
@@ -27,6 +28,7 @@
   for (const reason of Object.values(RetryReason)) counters.declare(retryCounter(reason))
   for (const found of Object.values(RepeatedAnswer)) counters.declare(repeatedAnswerCounter(found))
   for (const fault of Object.values(ListenerFault)) counters.declare(listenerFaultCounter(fault))
+  for (const counter of Object.values(QuotaCounter)) counters.declare(counter)
   counters.declare(RETRY_BUDGET_COUNTER)
   counters.declare(IDLE_CONNECTION_COUNTER)
   for (const counter of [END_CONFIRMED_COUNTER, END_UNCONFIRMED_COUNTER, UNFRAMABLE_COUNTER]) counters.declare(counter)
--- a/src/relay/getRefusalStatus.ts
+++ b/src/relay/getRefusalStatus.ts
@@ -12,6 +12,7 @@
   [RefusalReason.BodyTimedOut]: 408,
   [RefusalReason.HeadersTooLarge]: 431,
   [RefusalReason.Unauthorized]: 401,
+  [RefusalReason.QuotaExceeded]: 429,
   [RefusalReason.TicketMissing]: 428,
   [RefusalReason.TicketInvalid]: 400,
   [RefusalReason.TicketExpired]: 410,
--- a/src/settings/PlanHostSettings.ts
+++ b/src/settings/PlanHostSettings.ts
@@ -1,4 +1,5 @@
 import type { RetryBound } from '../placement/RetryShare.js'
+import type { QuotaBounds } from '../quota/QuotaBounds.js'
 
 /** Checked settings of an entry host or control host that follows a routing plan. Addresses are `ip:port`. */
 export interface PlanHostSettings {
@@ -32,6 +33,8 @@
   retryBound: RetryBound
   /** Time from the acknowledgement of a plan after which no host serves a key that the plan withdrew, in milliseconds; undefined without that guarantee. */
   revocationMilliseconds: number | undefined
+  /** Tolerances of the quotas of client accounts. */
+  quotaBounds: QuotaBounds
   /** Region of each failure domain by name. */
   regions: Map<string, string>
 }
--- a/src/settings/loadPlanHostSettings.ts
+++ b/src/settings/loadPlanHostSettings.ts
@@ -2,6 +2,7 @@
 import { parse } from 'ini'
 import { z } from 'zod'
 import { SettingsError, type SettingsFault } from '../errors/SettingsError.js'
+import { DEFAULT_QUOTA_BOUNDS } from '../quota/QuotaBounds.js'
 import { splitAddress } from '../utils/splitAddress.js'
 import { createSettingsFault } from './createSettingsFault.js'
 import type { PlanHostSettings } from './PlanHostSettings.js'
@@ -42,7 +43,10 @@
     'retry-allowance': createNumberSchema(10),
     'retry-window-seconds': createNumberSchema(10),
     'strict-revocation': OPTIONAL_TRUE_OR_FALSE,
-    'revocation-seconds': OPTIONAL_NUMBER
+    'revocation-seconds': OPTIONAL_NUMBER,
+    'quota-window-seconds': OPTIONAL_NUMBER,
+    'quota-overage': OPTIONAL_NUMBER,
+    'quota-allowance': OPTIONAL_NUMBER
   }).prefault({}),
   regions: z.record(z.string(), z.string()).default({})
 })
@@ -76,6 +80,11 @@
     stopMilliseconds: limits['stop-seconds'] * 1000,
     retryBound: { ratio: limits['retry-ratio'], allowance: limits['retry-allowance'], windowMilliseconds: limits['retry-window-seconds'] * 1000 },
     revocationMilliseconds: limits['strict-revocation'] ? (limits['revocation-seconds'] ?? DEFAULT_REVOCATION_SECONDS) * 1000 : undefined,
+    quotaBounds: {
+      windowMilliseconds: limits['quota-window-seconds'] === undefined ? DEFAULT_QUOTA_BOUNDS.windowMilliseconds : limits['quota-window-seconds'] * 1000,
+      overage: limits['quota-overage'] ?? DEFAULT_QUOTA_BOUNDS.overage,
+      allowance: limits['quota-allowance'] ?? DEFAULT_QUOTA_BOUNDS.allowance
+    },
     regions: new Map(Object.entries(regions))
   }
 }
--- a/src/types/PeerMethod.ts
+++ b/src/types/PeerMethod.ts
@@ -32,5 +32,7 @@
   /** Reports requests under which upstreams ended, and waits until a control host has stored them. */
   SaveCrashes = 'control.save-crashes',
   ShareRegistry = 'control.share-registry',
-  FetchRegistry = 'control.fetch-registry'
+  FetchRegistry = 'control.fetch-registry',
+  /** Takes tokens for requests of client accounts. */
+  TakeQuota = 'quota.take'
 }
--- a/src/types/RefusalReason.ts
+++ b/src/types/RefusalReason.ts
@@ -16,6 +16,10 @@
   Unauthorized = 'unauthorized',
   /** The host can't tell whether a newer plan has withdrawn keys. */
   KeysUnconfirmed = 'keys-unconfirmed',
+  /** The client account has used up its quota. */
+  QuotaExceeded = 'quota-exceeded',
+  /** No control host answered whether the client account has quota left. */
+  QuotaUnavailable = 'quota-unavailable',
   NoSheet = 'no-sheet',
   NoPlan = 'no-plan',
   NoUpstream = 'no-upstream',
--- a/src/types/Step.ts
+++ b/src/types/Step.ts
@@ -20,5 +20,6 @@
   Spread = 'spread',
   Probe = 'probe',
   Lease = 'lease',
+  Quota = 'quota',
   Stop = 'stop'
 }
--- a/src/utils/SuspensionDetector.ts
+++ b/src/utils/SuspensionDetector.ts
@@ -10,13 +10,27 @@
 export class SuspensionDetector {
   #lastDifference = getDifference()
   #resumedAt = Number.NEGATIVE_INFINITY
+  #count = 0
+
+  /** Number of suspensions detected so far; to be read several times a second. */
+  get count (): number {
+    this.#check()
+    return this.#count
+  }
 
   /** @returns milliseconds on the monotonic clock since a suspension was detected, infinite when none was; to be called several times a second */
   get millisecondsSinceResume (): number {
+    this.#check()
+    return performance.now() - this.#resumedAt
+  }
+
+  #check (): void {
     const difference = getDifference()
-    if (difference - this.#lastDifference > MINIMUM_SUSPENSION_MILLISECONDS) this.#resumedAt = performance.now()
+    if (difference - this.#lastDifference > MINIMUM_SUSPENSION_MILLISECONDS) {
+      this.#resumedAt = performance.now()
+      this.#count += 1
+    }
     this.#lastDifference = difference
-    return performance.now() - this.#resumedAt
   }
 }
 
