Begin a second attempt beside a slow first one of a repeatable request

A few slow responses spoil the 99th percentile although the guest would accept extra work for them. Off by default.

--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -52,6 +52,8 @@
   /** Region of each failure domain. */
   regions: Map<string, string>
   retryBound: RetryBound
+  /** Second attempts for slow responses per request; by default there are none. */
+  secondAttemptRatio?: number
   /** Time within which each host stops to serve withdrawn keys; by default there is no such bound. */
   revocationMilliseconds?: number | undefined
   /** Time from the stop signal to the exit of the process. */
@@ -193,6 +195,7 @@
       sender: this.#createSender(),
       stopWindow: this.#stopWindow,
       retryBound: () => settings().retryBound,
+      secondAttemptRatio: () => settings().secondAttemptRatio ?? 0,
       regionOf: (domain) => settings().regions.get(domain),
       random,
       counters,
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -1,5 +1,3 @@
-import { errorTexts } from '../errors/errorTexts.js'
-import { ExchangeError, ExchangeFailure } from '../errors/ExchangeError.js'
 import type { KnownState } from '../follow/KnownState.js'
 import type { StopWindow } from '../limits/StopWindow.js'
 import type { Counters } from '../observe/Counters.js'
@@ -7,33 +5,29 @@
 import type { LatencyBuckets } from '../observe/LatencyBuckets.js'
 import type { Log } from '../observe/Log.js'
 import { AdmissionResult } from '../placement/AdmissionQueue.js'
-import { choosePlacement } from '../placement/choosePlacement.js'
-import { ColdShare } from '../placement/ColdShare.js'
-import { RetryShare, type RetryBound } from '../placement/RetryShare.js'
+import type { RetryBound } from '../placement/RetryShare.js'
 import { pickTarget } from '../plan/pickTarget.js'
-import type { UpstreamRecord } from '../registry/UpstreamRecord.js'
-import { discardAnswer } from '../relay/discardAnswer.js'
-import { answerFailedExchange } from '../relay/answerFailedExchange.js'
 import { fingerprintRequest } from '../relay/fingerprintRequest.js'
-import { answerUnknown, refuse } from '../relay/refuse.js'
+import { refuse } from '../relay/refuse.js'
 import type { RelayAnswer } from '../relay/RelayAnswer.js'
-import { recordAnswer } from './recordAnswer.js'
-import { Outcome } from '../types/Outcome.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { RequestClass } from '../types/RequestClass.js'
-import { RetryReason } from '../types/RetryReason.js'
 import { once } from '../utils/once.js'
-import { combineHomeRegions } from './combineHomeRegions.js'
 import { createAdmissionRequest } from './createAdmissionRequest.js'
 import type { EntryRequest } from './EntryRequest.js'
-import { listCandidates, type PlacementCandidate } from './listCandidates.js'
+import { finishUnanswered } from './finishUnanswered.js'
+import { recordAnswer } from './recordAnswer.js'
 import { RequestProgress } from './RequestProgress.js'
+import { RetryShares } from './RetryShares.js'
+import { SecondAttempts } from './SecondAttempts.js'
 import type { ServiceAdmission } from './ServiceAdmission.js'
 import type { SuspectGate } from './SuspectGate.js'
 import type { UpstreamLoads } from './UpstreamLoads.js'
-import { AnswerKind, type UpstreamProtocol } from './UpstreamProtocol.js'
+import { UpstreamAttempts } from './UpstreamAttempts.js'
+import { UpstreamChoice } from './UpstreamChoice.js'
+import type { UpstreamProtocol } from './UpstreamProtocol.js'
 import type { UpstreamRuns } from './UpstreamRuns.js'
-import type { ClassifiedAnswer, UpstreamSender } from './UpstreamSender.js'
+import type { UpstreamSender } from './UpstreamSender.js'
 
 /** Maximum number of failed attempts to connect for one request: they send nothing, but take time. */
 const MAXIMUM_FAILED_CONNECTS = 3
@@ -48,11 +42,13 @@
   loads: UpstreamLoads
   admission: ServiceAdmission
   protocol: UpstreamProtocol
-  gate: Pick<SuspectGate, 'enter' | 'isSuspect'>
+  gate: Pick<SuspectGate, 'enter' | 'isSuspect' | 'admitsCopy'>
   runs: Pick<UpstreamRuns, 'isProven'>
   sender: UpstreamSender
   stopWindow: StopWindow
   retryBound: () => RetryBound
+  /** @returns second attempts per request; 0, as by default, for none */
+  secondAttemptRatio?: () => number
   regionOf: (domain: string) => string | undefined
   random: () => number
   counters: Counters
@@ -65,12 +61,16 @@
 /** Sends guests' requests directly from the entry host to upstreams, and retries them where that is allowed. */
 export class EntryRelay {
   readonly #options: EntryRelayOptions
-  readonly #coldShare = new ColdShare()
-  readonly #retrySharesByService = new Map<string, RetryShare>()
+  readonly #choice: UpstreamChoice
+  readonly #retryShares: RetryShares
+  readonly #secondAttempts: SecondAttempts
 
   /** @param options - known state, connections and protocol */
   constructor (options: EntryRelayOptions) {
     this.#options = options
+    this.#choice = new UpstreamChoice(options)
+    this.#retryShares = new RetryShares(options.retryBound)
+    this.#secondAttempts = new SecondAttempts(options, { choice: this.#choice, attempts: new UpstreamAttempts(options, this.#choice), retryShares: this.#retryShares })
   }
 
   /**
@@ -83,7 +83,8 @@
     const { route } = request
     const service = pickTarget(route.targets, this.#options.random())
     const progress = new RequestProgress(service, fingerprintRequest({ scope: route.host, method: request.method, path: request.path, body: request.body }))
-    this.#getRetryShare(service).recordRequest(performance.now())
+    this.#retryShares.get(service).recordRequest(performance.now())
+    this.#secondAttempts.recordRequest(request)
     const answer = await this.#admit(request, progress)
     recordAnswer(this.#options, request, progress, answer)
     return answer
@@ -108,144 +109,25 @@
   async #sendUntilAnswered (request: EntryRequest, progress: RequestProgress): Promise<RelayAnswer> {
     for (;;) {
       const leaveGate = await this.#options.gate.enter({ fingerprint: progress.fingerprint, deadline: request.deadline, cancelled: request.cancelled })
-      if (typeof leaveGate !== 'function') return this.#finishUnanswered(progress, leaveGate)
-      const chosen = this.#chooseUpstream(request, progress)
+      if (typeof leaveGate !== 'function') return finishUnanswered(progress, leaveGate)
+      const chosen = this.#choice.choose(request, progress)
       if (typeof chosen === 'string') {
         leaveGate()
-        return this.#finishUnanswered(progress, chosen)
+        return finishUnanswered(progress, chosen)
       }
-      if (chosen.isCold) this.#coldShare.take(chosen.record.id, performance.now())
-      const answer = await this.#send(request, progress, chosen.record, leaveGate)
+      const answer = await this.#secondAttempts.run({ request, progress, chosen, onSettled: leaveGate })
       if (answer !== undefined) return answer
-      if (!this.#canRetry(request, progress)) return this.#finishUnanswered(progress, progress.reason)
+      if (!this.#canRetry(request, progress)) return finishUnanswered(progress, progress.reason)
       this.#options.counters.increment(retryCounter(progress.retryReason))
     }
   }
 
-  /** @returns the upstream for the next attempt, or why there is none */
-  #chooseUpstream (request: EntryRequest, progress: RequestProgress): PlacementCandidate | RefusalReason {
-    const { known, loads, regionOf, stopWindow } = this.#options
-    if (!stopWindow.admits(request.deadline)) return RefusalReason.Stopping
-    const candidates = listCandidates(known, loads, {
-      service: progress.service,
-      placementKey: this.#getPlacementKey(request, progress),
-      homeRegions: combineHomeRegions(request.route, request.access?.account),
-      region: this.#options.region,
-      excludedUpstreams: progress.excludedUpstreams,
-      regionOf,
-      canUseCold: (record) => this.#canUseCold(record)
-    })
-    const chosen = choosePlacement(candidates)
-    progress.recordPlacement(candidates, chosen)
-    return chosen ?? (candidates.length === 0 ? this.#explainAbsence(progress) : RefusalReason.UpstreamsFull)
-  }
-
-  /** @returns why no upstream may get the request */
-  #explainAbsence (progress: RequestProgress): RefusalReason {
-    const { known, loads } = this.#options
-    const now = performance.now()
-    const firstReturnAt = loads.findFirstReturn(known.listReady(progress.service).map(({ record }) => record), now)
-    if (firstReturnAt === undefined) return RefusalReason.NoUpstream
-    progress.returnMilliseconds = firstReturnAt - now
-    return RefusalReason.UpstreamsPaused
-  }
-
-  #canUseCold (record: UpstreamRecord): boolean {
-    const { known, hostName } = this.#options
-    const requestsPerSecond = known.service(record.service)?.coldRequestsPerSecond ?? 0
-    if (requestsPerSecond <= 0) return false
-    const query = { upstream: record.id, host: hostName, entryHosts: known.entryHosts, requestsPerSecond }
-    return this.#coldShare.mayTake(query, performance.now())
-  }
-
-  /** @returns the answer for the guest, undefined when the attempt gave none */
-  async #send (request: EntryRequest, progress: RequestProgress, record: UpstreamRecord, onSettled: () => void): Promise<RelayAnswer | undefined> {
-    progress.recordAttempt(record.id)
-    try {
-      const answer = await this.#options.sender.send({ request, fingerprint: progress.fingerprint, record, onSettled, onArrived: progress.onArrived })
-      return this.#handleAnswer(request, progress, record, answer)
-    } catch (error) {
-      if (!(error instanceof ExchangeError)) throw error
-      return this.#handleFailure(progress, record, error)
-    }
-  }
-
-  #handleAnswer (request: EntryRequest, progress: RequestProgress, record: UpstreamRecord, { answer, kind }: ClassifiedAnswer): RelayAnswer | undefined {
-    const { protocol, loads, known } = this.#options
-    const load = loads.get(record.id)
-    const now = performance.now()
-    const report = protocol.readLoad(answer)
-    if (report !== undefined) load.recordReport(report, now)
-    if (kind === AnswerKind.Own) {
-      load.recordAlive(now)
-      loads.warmObjects.recordHandled(this.#getPlacementKey(request, progress), record.id, now)
-      progress.sendCount += 1
-      const { status, headers, body, endsWithConnection } = answer
-      return { outcome: Outcome.Ran, reason: undefined, status, headers, body, endsWithConnection, pool: undefined }
-    }
-    discardAnswer(answer)
-    progress.sendCount += 1
-    if (kind === AnswerKind.Foreign) {
-      progress.cause = errorTexts.foreignAnswer()
-      load.recordFailure(now)
-      progress.recordLostAnswer(RefusalReason.AnswerLost)
-      return undefined
-    }
-    if (kind === AnswerKind.OtherUpstream) known.markGone(record.id)
-    const hadFreeSlots = kind === AnswerKind.NotRun && load.recordRefusal(now)
-    // An upstream that refuses although it has free slots may get the next attempt: elsewhere the object is not warm.
-    if (hadFreeSlots) progress.excludedUpstreams.delete(record.id)
-    progress.recordNotRun(hadFreeSlots ? RefusalReason.ShedWithFreeSlots : RefusalReason.Shed, RetryReason.Shed)
-    return undefined
-  }
-
-  #handleFailure (progress: RequestProgress, record: UpstreamRecord, error: ExchangeError): RelayAnswer | undefined {
-    const { loads, gate } = this.#options
-    progress.cause = String(error.cause)
-    if (error.failure === ExchangeFailure.Cancelled) return answerFailedExchange(error)
-    loads.get(record.id).recordNoAnswer(error.failure, performance.now())
-    if (!error.written) {
-      progress.failedConnectCount += 1
-      progress.recordNotRun(RefusalReason.UpstreamUnreachable, RetryReason.UpstreamUnreachable)
-      return error.failure === ExchangeFailure.TimedOut ? this.#finishUnanswered(progress, RefusalReason.DeadlinePassed) : undefined
-    }
-    progress.sendCount += 1
-    progress.recordLostAnswer(error.failure === ExchangeFailure.TimedOut ? RefusalReason.DeadlinePassed : RefusalReason.AnswerLost)
-    if (error.failure === ExchangeFailure.TimedOut) return answerUnknown(RefusalReason.DeadlinePassed)
-    // The permit of a suspect is taken until the upstream has ended an answer that was given up.
-    return error.failure === ExchangeFailure.Undelimited && gate.isSuspect(progress.fingerprint) ? answerFailedExchange(error) : undefined
-  }
-
   #canRetry ({ route, deadline, cancelled }: EntryRequest, progress: RequestProgress): boolean {
     const now = performance.now()
     if (cancelled.aborted || deadline - now < MINIMUM_ATTEMPT_MILLISECONDS) return false
     if (progress.mayHaveRun && route.requestClass !== RequestClass.Idempotent) return false
     if (progress.sendCount >= route.mostAttempts || progress.failedConnectCount >= MAXIMUM_FAILED_CONNECTS) return false
     if (progress.sendCount === 0) return true
-    return this.#getRetryShare(progress.service).trySpend(now, this.#options.known.entryHosts)
-  }
-
-  /** A request that may have run is answered as unknown, never as refused. */
-  #finishUnanswered (progress: RequestProgress, reason: RefusalReason): RelayAnswer {
-    if (progress.mayHaveRun) return answerUnknown(progress.lostReason)
-    return { ...refuse(reason), retryAfterMilliseconds: reason === RefusalReason.UpstreamsPaused ? progress.returnMilliseconds : undefined }
-  }
-
-  /**
-   * @returns the key that determines the order of upstreams for a request. Copies of a request that has not run completely
-   * yet have the same order at all hosts, so that one that ends upstreams does not end several at once.
-   */
-  #getPlacementKey ({ id, route, objectKey }: EntryRequest, { fingerprint }: RequestProgress): string {
-    if (route.sticky && objectKey !== undefined) return `${route.name}|${objectKey}`
-    return this.#options.runs.isProven(fingerprint) ? id : fingerprint
-  }
-
-  #getRetryShare (service: string): RetryShare {
-    let retryShare = this.#retrySharesByService.get(service)
-    if (retryShare === undefined) {
-      retryShare = new RetryShare(this.#options.retryBound())
-      this.#retrySharesByService.set(service, retryShare)
-    }
-    return retryShare
+    return this.#retryShares.get(progress.service).trySpend(now, this.#options.known.entryHosts)
   }
 }
--- a/src/entry/RequestProgress.ts
+++ b/src/entry/RequestProgress.ts
@@ -1,6 +1,17 @@
 import type { RankedCandidate } from '../placement/RankedCandidate.js'
 import { RefusalReason } from '../types/RefusalReason.js'
 import { RetryReason } from '../types/RetryReason.js'
+import type { SecondDenial } from '../types/SecondDenial.js'
+import type { Winner } from '../types/Winner.js'
+
+/** The second attempt of a request whose first one was slow. */
+export interface SecondAttemptRecord {
+  /** Identifier of its upstream. */
+  upstream: string
+  /** Time from the beginning of the first attempt to that of the second. */
+  afterMilliseconds: number
+  winner: Winner
+}
 
 /** Progress of one request over its attempts. */
 export class RequestProgress {
@@ -33,6 +44,10 @@
   retryReason = RetryReason.Shed
   /** Called when the answer has arrived, and when the request is over; gives back its place in the admission queue. */
   onArrived = (): void => {}
+  /** Undefined when no second attempt began beside the first one. */
+  second: SecondAttemptRecord | undefined
+  /** What kept a slow first attempt from getting a second one; undefined when nothing did. */
+  secondDenial: SecondDenial | undefined
   /** Time until the first upstream that asked for a pause takes requests again, in milliseconds. */
   returnMilliseconds: number | undefined
 
--- a/src/entry/ServiceAdmission.ts
+++ b/src/entry/ServiceAdmission.ts
@@ -42,6 +42,11 @@
     return state.queue
   }
 
+  /** @returns the queue of a service */
+  getQueue (service: string): AdmissionQueue {
+    return this.#getState(service).queue
+  }
+
   /** @returns requests per second for each service at this host */
   listDemand (): Record<string, number> {
     return Object.fromEntries([...this.#statesByService].map(([service, { demand }]) => [service, Math.round(demand.readPerSecond() * 10) / 10]))
--- a/src/entry/SuspectGate.ts
+++ b/src/entry/SuspectGate.ts
@@ -74,6 +74,17 @@
     return this.#options.crashes.countLosses(fingerprint) > 0
   }
 
+  /**
+   * Checks the upstreams of the copies in flight first: one of them may have ended under the request.
+   *
+   * @param fingerprint - digest of the request
+   * @returns whether a further copy may run beside those in flight, without a permit
+   */
+  async admitsCopy (fingerprint: string): Promise<boolean> {
+    await this.#options.detector.checkCopies(fingerprint)
+    return !this.isSuspect(fingerprint)
+  }
+
   async #waitForPermit ({ fingerprint, deadline, cancelled }: GatedRequest): Promise<(() => void) | RefusalReason> {
     const { crashes, log } = this.#options
     const holder = randomUUID()
--- a/src/entry/UpstreamSender.ts
+++ b/src/entry/UpstreamSender.ts
@@ -44,6 +44,8 @@
   onArrived: () => void
   /** Called when the attempt is over and the end of its upstream, if it ended, is recorded. */
   onSettled: () => void
+  /** Whether another attempt has answered the request, so that this one was cancelled; by default never. */
+  isSuperseded?: () => boolean
 }
 
 /** An answer with its meaning. */
@@ -89,7 +91,7 @@
     } catch (error) {
       const settled = this.#settleAfterExchange(error, async () => {
         endLoad()
-        await this.#settleFailure(run, error)
+        await this.#settleFailure(run, error, attempt.isSuperseded?.() ?? false)
       })
       this.#settleAfter(settled, attempt)
       // The guest's time is over after a timeout or when it left; only a broken connection leads to another attempt.
@@ -169,7 +171,7 @@
     onExcuse()
   }
 
-  async #settleFailure (run: UpstreamRun, error: unknown): Promise<void> {
+  async #settleFailure (run: UpstreamRun, error: unknown, isSuperseded: boolean): Promise<void> {
     const { runs, detector } = this.#options
     if (!(error instanceof ExchangeError) || !error.written) {
       runs.discard(run)
@@ -177,6 +179,8 @@
       return
     }
     runs.abandon(run)
+    // The end of an attempt that this host cancelled says nothing of its upstream.
+    if (isSuperseded && error.failure === ExchangeFailure.Cancelled) return
     await detector.checkUpstream(run.record)
   }
 }
--- a/src/entry/listCandidates.ts
+++ b/src/entry/listCandidates.ts
@@ -12,6 +12,8 @@
 /** An upstream that a request may be sent to. */
 export interface PlacementCandidate extends RankedCandidate {
   record: UpstreamRecord
+  /** Position of its region in the order of the object, from 0. */
+  regionRank: number
 }
 
 /** Input to the choice of upstreams that a request may be sent to. */
--- a/src/observe/declareCounters.ts
+++ b/src/observe/declareCounters.ts
@@ -17,6 +17,17 @@
 /** Name of the counter of answers that could not reach their HTTP/1.0 guest, since nothing would have told where they end. */
 export const UNFRAMABLE_COUNTER = 'answer-end.not-for-http-1.0'
 
+/** Names of the counters of second attempts for slow responses. */
+export const SECOND_ATTEMPT_COUNTERS = {
+  begun: 'second-attempt.begun',
+  /** The second attempt answered the request. */
+  won: 'second-attempt.won',
+  /** The first attempt answered the request, or neither did. */
+  lost: 'second-attempt.lost',
+  /** The first attempt was slow, but limits, slots, upstreams or a suspicion did not allow a second one. */
+  denied: 'second-attempt.denied'
+}
+
 /**
  * Declares the counters of all refusal reasons, retry reasons and outcomes, so that they are readable from the start.
  *
--- a/src/placement/AdmissionQueue.ts
+++ b/src/placement/AdmissionQueue.ts
@@ -70,10 +70,7 @@
    */
   async enter (request: AdmissionRequest, cancelled: AbortSignal): Promise<AdmissionResult> {
     if (cancelled.aborted) return AdmissionResult.Cancelled
-    if (this.#waiting.length === 0 && this.#inFlight < this.#currentLimit()) {
-      this.#inFlight += 1
-      return AdmissionResult.Admitted
-    }
+    if (this.tryTakePlace()) return AdmissionResult.Admitted
     if (this.estimateWaitMilliseconds(request.priority) > request.maximumWaitMilliseconds) return AdmissionResult.TooLate
     return await this.#wait(request, cancelled)
   }
@@ -95,6 +92,28 @@
     this.admitWaiting()
   }
 
+  /** Whether a request would be admitted at once. */
+  get hasRoom (): boolean {
+    return this.#waiting.length === 0 && this.#inFlight < this.#currentLimit()
+  }
+
+  /**
+   * Takes a place for a further attempt of an admitted request, without a wait.
+   *
+   * @returns whether there was one; a place that was taken must be given back with {@link returnPlace}
+   */
+  tryTakePlace (): boolean {
+    if (!this.hasRoom) return false
+    this.#inFlight += 1
+    return true
+  }
+
+  /** Gives back a place of {@link tryTakePlace} and admits waiting requests. The mean hold time counts requests, not attempts. */
+  returnPlace (): void {
+    this.#inFlight -= 1
+    this.admitWaiting()
+  }
+
   /** Admits waiting requests up to the current limit; called when the limit may have changed. */
   admitWaiting (): void {
     while (this.#waiting.length > 0 && this.#inFlight < this.#currentLimit()) {
--- a/src/placement/RetryShare.ts
+++ b/src/placement/RetryShare.ts
@@ -21,8 +21,8 @@
 }
 
 /**
- * One host's share of the retries of one service. The shares of all hosts stay within the bound even while hosts are
- * partitioned from each other.
+ * One host's share of the retries of one service, or of the second attempts of all services. The shares of all hosts stay
+ * within the bound even while hosts are partitioned from each other.
  */
 export class RetryShare {
   readonly #bound: RetryBound
@@ -44,13 +44,18 @@
    * @returns whether one more retry is within this host's share; if so, it is counted
    */
   trySpend (now: number, entryHosts: number): boolean {
-    const slice = this.#getCurrentSlice(now)
+    if (!this.maySpend(now, entryHosts)) return false
+    this.#getCurrentSlice(now).retries += 1
+    return true
+  }
+
+  /** @returns whether one more retry is within this host's share, as {@link RetryShare.trySpend}, without counting it */
+  maySpend (now: number, entryHosts: number): boolean {
+    this.#getCurrentSlice(now)
     const { ratio, allowance } = this.#bound
     const requests = this.#slices.reduce((sum, each) => sum + each.requests, 0)
     const retries = this.#slices.reduce((sum, each) => sum + each.retries, 0)
-    if (retries + 1 > USED_RATIO_FRACTION * ratio * requests + USED_ALLOWANCE_FRACTION * allowance / Math.max(1, entryHosts)) return false
-    slice.retries += 1
-    return true
+    return retries + 1 <= USED_RATIO_FRACTION * ratio * requests + USED_ALLOWANCE_FRACTION * allowance / Math.max(1, entryHosts)
   }
 
   #getCurrentSlice (now: number): TimeSlice {
--- a/src/placement/UpstreamLoad.ts
+++ b/src/placement/UpstreamLoad.ts
@@ -5,6 +5,8 @@
 
 /** Older reports are ignored: a warm run takes about 200 to 300 ms, so the load has changed since. */
 const MAXIMUM_REPORT_AGE_MILLISECONDS = 1_500
+/** Older reports of the present time of work are ignored: upstreams that share their machines change it every 600 ms. */
+const MAXIMUM_WORK_PERCENT_AGE_MILLISECONDS = 600
 /** Time in which a reported queue is assumed to empty: hosts that saw the report send elsewhere meanwhile. */
 const QUEUE_DECAY_MILLISECONDS = 500
 /** An upstream that answered this host within this time counts as alive, whatever the control hosts report. */
@@ -135,6 +137,11 @@
     return this.#failures.admits(this.inFlight, now)
   }
 
+  /** @returns how long work takes there at this moment, in percent of its usual time; undefined when it has not reported that lately */
+  getWorkPercent (now: number): number | undefined {
+    return now - this.#lastReportedAt > MAXIMUM_WORK_PERCENT_AGE_MILLISECONDS ? undefined : this.#lastReport?.workPercent
+  }
+
   /**
    * Estimates the utilization of the upstream.
    *
--- a/src/settings/PlanHostSettings.ts
+++ b/src/settings/PlanHostSettings.ts
@@ -30,6 +30,8 @@
   /** Time from the request to stop to the end of the process. */
   stopMilliseconds: number
   retryBound: RetryBound
+  /** Second attempts for slow responses per repeatable request; 0 for none. */
+  secondAttemptRatio: number
   /** Time from the acknowledgement of a plan after which no host serves a key that the plan withdrew, in milliseconds; undefined without that guarantee. */
   revocationMilliseconds: number | undefined
   /** Region of each failure domain by name. */
--- a/src/settings/loadPlanHostSettings.ts
+++ b/src/settings/loadPlanHostSettings.ts
@@ -19,6 +19,8 @@
 
 const OPTIONAL_COUNT = z.string().regex(/^\d{0,4}$/, 'allowed: a whole number').transform((text) => text === '' ? undefined : Number(text)).optional()
 
+const OPTIONAL_FRACTION = z.string().regex(/^(0(\.\d+)?|1(\.0+)?)?$/, 'allowed: a number from 0 to 1').transform(Number).default(0)
+
 const DEFAULT_REVOCATION_SECONDS = 5
 
 function createNumberSchema (defaultValue: number) {
@@ -41,6 +43,7 @@
     'retry-ratio': createNumberSchema(0.2),
     'retry-allowance': createNumberSchema(10),
     'retry-window-seconds': createNumberSchema(10),
+    'second-attempt-ratio': OPTIONAL_FRACTION,
     'strict-revocation': OPTIONAL_TRUE_OR_FALSE,
     'revocation-seconds': OPTIONAL_NUMBER
   }).prefault({}),
@@ -75,6 +78,7 @@
     announcementMilliseconds: control['announcement-seconds'] * 1000,
     stopMilliseconds: limits['stop-seconds'] * 1000,
     retryBound: { ratio: limits['retry-ratio'], allowance: limits['retry-allowance'], windowMilliseconds: limits['retry-window-seconds'] * 1000 },
+    secondAttemptRatio: limits['second-attempt-ratio'],
     revocationMilliseconds: limits['strict-revocation'] ? (limits['revocation-seconds'] ?? DEFAULT_REVOCATION_SECONDS) * 1000 : undefined,
     regions: new Map(Object.entries(regions))
   }
