--- a/__tests__/entry/createRelayFixture.ts
+++ b/__tests__/entry/createRelayFixture.ts
@@ -23,6 +23,7 @@
 export interface RelayFixture extends SenderParts {
   relay: EntryRelay
   known: KnownState
+  loads: UpstreamLoads
   connections: UpstreamConnectionPools
 }
 
@@ -60,5 +61,5 @@
     log: silentLog,
     ...options
   })
-  return { relay, known, connections, ...parts }
+  return { relay, known, loads, connections, ...parts }
 }
--- a/src/entry/SecondAttempts.ts
+++ b/src/entry/SecondAttempts.ts
@@ -163,7 +163,7 @@
   #decide ({ request, progress, runs, isFirstWarm, startedAt }: RunningAttempt): PlacementCandidate | SecondDenial {
     const { stopWindow, admission } = this.#options
     if (!stopWindow.admits(request.deadline)) return SecondDenial.Stopping
-    if (!admission.getQueue(progress.service).hasRoom) return SecondDenial.NoSlots
+    if (!admission.getQueue(progress.service).hasSpare) return SecondDenial.NoSlots
     const now = performance.now()
     return decideSecondAttempt({
       ageMilliseconds: now - startedAt,
@@ -188,8 +188,8 @@
 
   #begin ({ request, progress, race, startedAt }: RunningAttempt, { record }: PlacementCandidate): { answer: Promise<RelayAnswer | undefined>, racing: RacingAttempt } {
     const queue = this.#options.admission.getQueue(progress.service)
-    const hasPlace = queue.tryTakePlace()
-    const returnPlace = once(() => { if (hasPlace) queue.returnPlace() })
+    const hasPlace = queue.tryTakeSpare()
+    const returnPlace = once(() => { if (hasPlace) queue.returnSpare() })
     progress.second = { upstream: record.id, afterMilliseconds: Math.round(performance.now() - startedAt), winner: Winner.None }
     this.#options.counters.increment(SECOND_ATTEMPT_COUNTERS.begun)
     const racing = race.enter()
--- a/src/placement/AdmissionQueue.ts
+++ b/src/placement/AdmissionQueue.ts
@@ -2,6 +2,10 @@
 
 /** Weight of the newest hold time in the running mean. */
 const HOLD_TIME_MEAN_WEIGHT = 0.1
+/** Part of the limit up to which further attempts are admitted: the limit is 1.2 times the slots, and arrivals vary. */
+const SPARE_FRACTION = 0.75
+/** A host with little demand has a limit of two or three requests, of which one may be slow. */
+const MINIMUM_SPARE_LIMIT = 2
 
 /** A request that waits for admission. */
 export interface AdmissionRequest {
@@ -70,7 +74,10 @@
    */
   async enter (request: AdmissionRequest, cancelled: AbortSignal): Promise<AdmissionResult> {
     if (cancelled.aborted) return AdmissionResult.Cancelled
-    if (this.tryTakePlace()) return AdmissionResult.Admitted
+    if (this.#waiting.length === 0 && this.#inFlight < this.#currentLimit()) {
+      this.#inFlight += 1
+      return AdmissionResult.Admitted
+    }
     if (this.estimateWaitMilliseconds(request.priority) > request.maximumWaitMilliseconds) return AdmissionResult.TooLate
     return await this.#wait(request, cancelled)
   }
@@ -92,24 +99,25 @@
     this.admitWaiting()
   }
 
-  /** Whether a request would be admitted at once. */
-  get hasRoom (): boolean {
-    return this.#waiting.length === 0 && this.#inFlight < this.#currentLimit()
+  /** Whether the limit leaves places for further attempts of admitted requests. */
+  get hasSpare (): boolean {
+    const limit = this.#currentLimit()
+    return this.#waiting.length === 0 && this.#inFlight < limit && this.#inFlight < Math.max(MINIMUM_SPARE_LIMIT, SPARE_FRACTION * limit)
   }
 
   /**
    * Takes a place for a further attempt of an admitted request, without a wait.
    *
-   * @returns whether there was one; a place that was taken must be given back with {@link returnPlace}
+   * @returns whether there was one; a place that was taken must be given back with {@link returnSpare}
    */
-  tryTakePlace (): boolean {
-    if (!this.hasRoom) return false
+  tryTakeSpare (): boolean {
+    if (!this.hasSpare) return false
     this.#inFlight += 1
     return true
   }
 
-  /** Gives back a place of {@link tryTakePlace} and admits waiting requests. The mean hold time counts requests, not attempts. */
-  returnPlace (): void {
+  /** Gives back a place of {@link tryTakeSpare} and admits waiting requests. The mean hold time counts requests, not attempts. */
+  returnSpare (): void {
     this.#inFlight -= 1
     this.admitWaiting()
   }
