--- a/__tests__/entry/createRelayFixture.ts
+++ b/__tests__/entry/createRelayFixture.ts
@@ -24,6 +24,7 @@
 export interface RelayFixture extends SenderParts {
   relay: EntryRelay
   known: KnownState
+  loads: UpstreamLoads
   connections: UpstreamConnectionPools
 }
 
@@ -63,5 +64,5 @@
     log: silentLog,
     ...options
   })
-  return { relay, known, connections, ...parts }
+  return { relay, known, loads, connections, ...parts }
 }
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -167,6 +167,7 @@
       sender: this.#createSender(),
       stopWindow: this.#stopWindow,
       retryBound: () => settings().retryBound,
+      secondAttemptRatio: () => settings().secondAttemptRatio ?? 0,
       regionOf: (domain) => settings().regions.get(domain),
       random,
       counters,
--- a/src/entry/EntryRelayOptions.ts
+++ b/src/entry/EntryRelayOptions.ts
@@ -23,11 +23,13 @@
   /** Quotas of client accounts over all hosts. */
   quota: Pick<AccountQuota, 'take'>
   protocol: UpstreamProtocol
-  gate: Pick<SuspectGate, 'enter' | 'isSuspect'>
+  gate: Pick<SuspectGate, 'enter' | 'isSuspect' | 'admitsCopy'>
   runs: Pick<UpstreamRuns, 'isProven'>
   sender: UpstreamSender
   stopWindow: StopWindow
   retryBound: () => RetryBound
+  /** @returns second attempts per request; 0, as by default, for none */
+  secondAttemptRatio?: () => number
   regionOf: (domain: string) => string | undefined
   random: () => number
   counters: Counters
