--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,6 +1,6 @@
 // Runs every compiled test with node:test. Failures listed in KNOWN-RED.txt are printed and tolerated.
 // Any other failure, and any listed test that does not fail, fails the run; a listed test with a line `flaky:` may pass.
-// A run without any passed test fails, too. Scenarios start many processes each, so they run one at a time after the other tests.
+// A run without any passed test fails, too. Scenarios and the tests of crowds of clients load the machine, so they run one at a time after the other tests.
 // Arguments restrict the run to files whose path contains one of them; listed tests that do not fail are tolerated then.
 import { readdirSync, readFileSync, existsSync } from 'node:fs'
 import { join } from 'node:path'
@@ -9,6 +9,8 @@
 
 const TEST_FOLDER = 'build/__tests__'
 const SCENARIO_FOLDER = join(TEST_FOLDER, 'scenarios')
+// Their hosts are loaded by crowds of clients.
+const CLIENTS_FOLDER = join(TEST_FOLDER, 'platform', 'clients')
 const FILE_TIMEOUT_MILLISECONDS = 400_000
 const CONCURRENT_FILES = 4
 
@@ -37,9 +39,9 @@
 const knownRed = entries.map(nameOf).filter((name) => name !== undefined)
 const flaky = entries.filter((entry) => /^flaky: /m.test(entry)).map(nameOf)
 
-const isScenario = (file) => file.startsWith(SCENARIO_FOLDER)
-await runFiles(files.filter((file) => !isScenario(file)), CONCURRENT_FILES)
-await runFiles(files.filter(isScenario), 1)
+const isExclusive = (file) => file.startsWith(SCENARIO_FOLDER) || file.startsWith(CLIENTS_FOLDER)
+await runFiles(files.filter((file) => !isExclusive(file)), CONCURRENT_FILES)
+await runFiles(files.filter(isExclusive), 1)
 
 const unexpected = failed.filter((name) => !knownRed.includes(name))
 const recovered = pathParts.length > 0 ? [] : knownRed.filter((name) => !failed.includes(name) && !flaky.includes(name))
