Blame no request for ends with a common cause, and withdraw wrongly assumed ends

Cause: each upstream that ended counted as one loss for every request in flight there. When the servers of a failure domain crashed together, a popular harmless request reached three losses at once and was refused with 422 for ten minutes.

The refusal begins 400 ms after the last loss, so that such a report arrives first; the request does not run meanwhile. An end that was assumed because connections were refused is withdrawn when the same start answers a later request completely. Both facts are exchanged and stored with the losses.

--- a/__tests__/crashes/CrashTable.test.ts
+++ b/__tests__/crashes/CrashTable.test.ts
@@ -69,3 +69,28 @@
   assert.ok(table.describe('f').lostUpstreams.length <= 101)
   assert.equal(table.countLosses('f'), 1)
 })
+
+test('tables that exchange reports of simultaneous and withdrawn ends in any order become equal', () => {
+  const source = new CrashTable()
+  for (const upstream of ['a@1', 'b@1', 'c@1', 'd@1']) source.recordLoss(upstream, ['f'])
+  source.recordSimultaneous('first', ['a@1', 'b@1'])
+  source.recordSimultaneous('second', ['b@1', 'c@1'])
+  source.withdrawEnd('d@1')
+  assert.equal(source.countLosses('f'), 1)
+  const { requests, simultaneousEnds, withdrawnEnds } = source.changedSince(0)
+  const parts: CrashReport[] = [{ requests, unreachableUpstreams: [] }, { requests: [], unreachableUpstreams: [], simultaneousEnds: simultaneousEnds! }, { requests: [], unreachableUpstreams: [], withdrawnEnds: withdrawnEnds! }]
+  for (const order of [[0, 1, 2], [2, 1, 0], [1, 0, 2]]) {
+    const table = new CrashTable()
+    for (const index of order) table.merge(parts[index]!)
+    assert.equal(table.countLosses('f'), 1)
+    assert.equal(table.merge(source.changedSince(0)), false, 'nothing is new')
+  }
+})
+
+test('an end of which no loss is known is not withdrawn, and observations without end are bounded', () => {
+  const table = new CrashTable()
+  table.withdrawEnd('a@1')
+  assert.deepEqual(table.changedSince(0), { requests: [], unreachableUpstreams: [] })
+  for (let number = 0; number < 1_100; number += 1) table.recordSimultaneous(`observation-${number}`, [`u-${number}@1`, 'a@1'])
+  assert.equal(table.changedSince(0).simultaneousEnds!.length, 1_000)
+})
--- a/src/crashes/CrashReport.ts
+++ b/src/crashes/CrashReport.ts
@@ -1,3 +1,5 @@
+import type { SimultaneousEnd } from './SimultaneousEnds.js'
+
 /** Upstream processes that ended while they ran one request. */
 export interface CrashRecord {
   /** Digest of the request, see {@link fingerprintRequest}. */
@@ -13,4 +15,8 @@
   requests: CrashRecord[]
   /** Upstream processes that could not be reached, so that hosts with requests in flight there should look. */
   unreachableUpstreams: string[]
+  /** Upstreams that ended at the same moment; absent when there are none, and from hosts that do not look for them. */
+  simultaneousEnds?: SimultaneousEnd[]
+  /** Ends, as the losses name them, that were assumed wrongly; absent as above. */
+  withdrawnEnds?: string[]
 }
--- a/src/crashes/CrashTable.ts
+++ b/src/crashes/CrashTable.ts
@@ -1,4 +1,6 @@
 import type { CrashRecord, CrashReport } from './CrashReport.js'
+import { evictOldest, isOversized } from './evictOldest.js'
+import { SimultaneousEnds } from './SimultaneousEnds.js'
 
 /** Number of upstreams that may end of a request before no upstream gets it any more. */
 const MAXIMUM_LOSSES = 3
@@ -6,9 +8,6 @@
 const RETENTION_MILLISECONDS = 600_000
 /** Time during which an unreachable upstream is remembered; hosts look at once when they are told. */
 const UNREACHABLE_RETENTION_MILLISECONDS = 60_000
-/** Maximum number of entries of each kind; a request that ends upstreams is rare. */
-const MAXIMUM_ENTRIES = 1_000
-
 /** Losses kept of one request; a popular one may be in flight at every upstream that ends, and is excused each time. */
 const MAXIMUM_LOSSES_KEPT = 100
 
@@ -31,6 +30,9 @@
 export class CrashTable {
   readonly #requestsByFingerprint = new Map<string, RequestEntry>()
   readonly #unreachableByIncarnation = new Map<string, UnreachableEntry>()
+  readonly #simultaneousEnds = new SimultaneousEnds()
+  /** Revisions at which ends were withdrawn, by the names of the ends. */
+  readonly #withdrawnEnds = new Map<string, number>()
   #revision = 0
 
   /** Rises with each change. */
@@ -41,11 +43,13 @@
   /**
    * Merges what another host reports.
    *
-   * @param report - losses, excuses and unreachable upstreams
+   * @param report - losses, excuses, unreachable upstreams, and what is known of the ends themselves
    * @returns whether any of it was new
    */
-  merge ({ requests, unreachableUpstreams }: CrashReport): boolean {
+  merge ({ requests, unreachableUpstreams, simultaneousEnds = [], withdrawnEnds = [] }: CrashReport): boolean {
     const previousRevision = this.#revision
+    for (const end of withdrawnEnds) this.#withdraw(end)
+    for (const end of simultaneousEnds) this.#simultaneousEnds.merge(end, () => ++this.#revision)
     for (const record of requests) this.#mergeRecord(record)
     for (const incarnation of unreachableUpstreams) this.recordUnreachable(incarnation)
     return this.#revision > previousRevision
@@ -58,13 +62,30 @@
    * @param fingerprints - the requests, any of which may have ended it
    */
   recordLoss (incarnation: string, fingerprints: Iterable<string>): void {
-    for (const fingerprint of fingerprints) this.#mergeRecord({ fingerprint, lostUpstreams: [incarnation], excusedUpstreams: [] })
+    const lostUpstreams = [this.#nameEnd(incarnation)]
+    for (const fingerprint of fingerprints) this.#mergeRecord({ fingerprint, lostUpstreams, excusedUpstreams: [] })
+  }
+
+  /**
+   * Records that upstream processes ended at the same moment under many requests, so that the ends have a common cause.
+   *
+   * @param id - identifies the observation; more upstreams may be added to it later
+   * @param incarnations - the upstream processes
+   */
+  recordSimultaneous (id: string, incarnations: Iterable<string>): void {
+    this.#simultaneousEnds.merge({ id, upstreams: [...incarnations].map((incarnation) => this.#nameEnd(incarnation)) }, () => ++this.#revision)
+  }
+
+  /** Records that an upstream process had not ended. A later end of it counts again. */
+  withdrawEnd (incarnation: string): void {
+    const end = this.#nameEnd(incarnation)
+    if ([...this.#requestsByFingerprint.values()].some(({ lostUpstreams }) => lostUpstreams.has(end))) this.#withdraw(end)
   }
 
   /** Records that an upstream ran a request completely, so that the losses known so far had another cause. */
   excuse (fingerprint: string): void {
     const entry = this.#find(fingerprint)
-    if (entry === undefined || countOpenLosses(entry) === 0) return
+    if (entry === undefined || this.#listOpenLosses(entry).length === 0) return
     const lostUpstreams = [...entry.lostUpstreams]
     this.#mergeRecord({ fingerprint, lostUpstreams, excusedUpstreams: lostUpstreams })
   }
@@ -74,7 +95,7 @@
     if (this.isUnreachable(incarnation)) return
     this.#unreachableByIncarnation.delete(incarnation)
     this.#unreachableByIncarnation.set(incarnation, { at: performance.now(), revision: ++this.#revision })
-    evictOldest(this.#unreachableByIncarnation)
+    if (isOversized(this.#unreachableByIncarnation)) evictOldest(this.#unreachableByIncarnation)
   }
 
   /** @returns whether a host recently could not reach the upstream process */
@@ -88,10 +109,10 @@
     return this.countLosses(fingerprint) >= MAXIMUM_LOSSES
   }
 
-  /** @returns number of upstreams that ended under the request and for which it is not excused */
+  /** @returns number of ends of upstreams under the request for which it is not excused; simultaneous ones count once */
   countLosses (fingerprint: string): number {
     const entry = this.#find(fingerprint)
-    return entry === undefined ? 0 : countOpenLosses(entry)
+    return entry === undefined ? 0 : this.#simultaneousEnds.count(this.#listOpenLosses(entry))
   }
 
   /** @returns milliseconds since this host learned of the last loss, infinite when there is none */
@@ -108,7 +129,11 @@
   /** @returns what changed after a revision */
   changedSince (revision: number): CrashReport {
     const hasChanged = ([, entry]: [string, { revision: number }]): boolean => entry.revision > revision
+    const simultaneousEnds = this.#simultaneousEnds.changedSince(revision)
+    const withdrawnEnds = [...this.#withdrawnEnds].filter(([, changedAt]) => changedAt > revision).map(([end]) => end)
     return {
+      ...simultaneousEnds.length > 0 && { simultaneousEnds },
+      ...withdrawnEnds.length > 0 && { withdrawnEnds },
       requests: [...this.#requestsByFingerprint].filter(hasChanged).map(([fingerprint]) => this.describe(fingerprint)).filter(({ lostUpstreams }) => lostUpstreams.length > 0),
       unreachableUpstreams: [...this.#unreachableByIncarnation].filter(hasChanged).map(([incarnation]) => incarnation).filter((incarnation) => this.isUnreachable(incarnation))
     }
@@ -124,7 +149,24 @@
     entry.revision = ++this.#revision
     this.#requestsByFingerprint.delete(fingerprint)
     this.#requestsByFingerprint.set(fingerprint, entry)
-    evictOldest(this.#requestsByFingerprint)
+    if (isOversized(this.#requestsByFingerprint)) evictOldest(this.#requestsByFingerprint)
+  }
+
+  #listOpenLosses ({ lostUpstreams, excusedUpstreams }: RequestEntry): string[] {
+    return [...lostUpstreams].filter((end) => !excusedUpstreams.has(end) && !this.#withdrawnEnds.has(end))
+  }
+
+  /** @returns the name of the next end of an upstream process: its incarnation, with a number once an end was withdrawn */
+  #nameEnd (incarnation: string): string {
+    let end = incarnation
+    for (let number = 2; this.#withdrawnEnds.has(end); number += 1) end = `${incarnation}#${number}`
+    return end
+  }
+
+  #withdraw (end: string): void {
+    if (this.#withdrawnEnds.has(end)) return
+    this.#withdrawnEnds.set(end, ++this.#revision)
+    if (isOversized(this.#withdrawnEnds)) evictOldest(this.#withdrawnEnds)
   }
 
   #find (fingerprint: string): RequestEntry | undefined {
@@ -135,10 +177,6 @@
   }
 }
 
-function countOpenLosses ({ lostUpstreams, excusedUpstreams }: RequestEntry): number {
-  return [...lostUpstreams].filter((upstream) => !excusedUpstreams.has(upstream)).length
-}
-
 /** Removes the oldest losses that are excused from an entry that is too large. */
 function forgetExcusedLosses ({ lostUpstreams, excusedUpstreams }: RequestEntry): void {
   for (const upstream of excusedUpstreams) {
@@ -154,10 +192,3 @@
   for (const value of values) target.add(value)
   return target.size > previousSize
 }
-
-/** Removes the entry that has not changed for the longest time from a map that is too large. */
-function evictOldest (entries: Map<string, unknown>): void {
-  if (entries.size <= MAXIMUM_ENTRIES) return
-  const [oldest] = entries.keys()
-  entries.delete(oldest!)
-}
--- a/src/entry/CrashDetector.ts
+++ b/src/entry/CrashDetector.ts
@@ -8,6 +8,7 @@
 import { pause } from '../utils/pause.js'
 import { ListenerState, probeListener } from '../utils/probeListener.js'
 import { RecentMap } from '../utils/RecentMap.js'
+import { ObservedEnds } from './ObservedEnds.js'
 import type { UpstreamRun, UpstreamRuns } from './UpstreamRuns.js'
 
 /** Timeout for a connection to an upstream: a round trip between regions takes 110 ms. */
@@ -49,13 +50,13 @@
   readonly #looks = new FreshLooks()
   readonly #aliveAt = new RecentMap<number>(MINIMUM_REMEMBERED_UPSTREAMS)
   readonly #unclearAt = new RecentMap<number>(MINIMUM_REMEMBERED_UPSTREAMS)
-  /** When an upstream was last found ended; responses of runs that began later show that it had not. */
-  readonly #endedAt = new RecentMap<number>(MINIMUM_REMEMBERED_UPSTREAMS)
+  readonly #observedEnds: ObservedEnds
   #reviewTimer: NodeJS.Timeout | undefined
 
   /** @param options - runs of this host, the crash table and the known upstreams */
   constructor (options: CrashDetectorOptions) {
     this.#options = options
+    this.#observedEnds = new ObservedEnds(options)
   }
 
   /**
@@ -81,12 +82,9 @@
    * @returns whether a connection that was opened after this call showed that the upstream lives
    */
   async isAlive (record: UpstreamRecord, begunAt: number): Promise<boolean> {
-    const { known } = this.#options
-    const incarnation = getIncarnation(record)
-    const hasEnded = (): boolean => (this.#endedAt.get(incarnation) ?? Number.NEGATIVE_INFINITY) > begunAt || known.upstreams.isReplaced(record)
-    if (hasEnded()) return false
-    const isListening = await this.#looks.look(incarnation, async () => [ListenerState.Open, ListenerState.ClosedEarly].includes(await this.#probe(record.address)))
-    return isListening && !hasEnded()
+    if (this.#observedEnds.hasEndedSince(record, begunAt)) return false
+    const isListening = await this.#looks.look(getIncarnation(record), async () => [ListenerState.Open, ListenerState.ClosedEarly].includes(await this.#probe(record.address)))
+    return isListening && !this.#observedEnds.hasEndedSince(record, begunAt)
   }
 
   /** Checks the upstreams of copies in flight, so that a request does not end a second upstream while the first one is silent. */
@@ -103,6 +101,11 @@
     this.#aliveAt.set(getIncarnation(record), performance.now())
   }
 
+  /** Records a whole answer of an upstream to a request, which shows that an earlier end of it was assumed wrongly. */
+  recordAnswer ({ record, startedAt }: UpstreamRun): void {
+    this.#observedEnds.recordAnswer(record, startedAt)
+  }
+
   /** Records that no connection to an upstream could be made. Hosts with requests in flight there look for themselves. */
   recordUnreachable (record: UpstreamRecord): void {
     const { crashes, onChange } = this.#options
@@ -154,9 +157,10 @@
 
   async #checkOnce (record: UpstreamRecord, incarnation: string): Promise<void> {
     const { known } = this.#options
+    const noticedAt = performance.now()
     const state = known.upstreams.isReplaced(record) ? ListenerState.Refused : await this.#probe(record.address)
     // Another start of the upstream may have been announced meanwhile, at the same address.
-    if (state === ListenerState.Refused || known.upstreams.isReplaced(record)) this.#recordEnd(record, incarnation)
+    if (state === ListenerState.Refused || known.upstreams.isReplaced(record)) this.#recordEnd(record, incarnation, noticedAt)
     else if (state === ListenerState.Open || state === ListenerState.ClosedEarly) this.recordAlive(record)
     else this.#recordUnclear(record, incarnation)
   }
@@ -179,12 +183,12 @@
     return ListenerState.ClosedEarly
   }
 
-  #recordEnd (record: UpstreamRecord, incarnation: string): void {
+  #recordEnd (record: UpstreamRecord, incarnation: string, noticedAt: number): void {
     const { runs, crashes, known, onChange, saveLosses, log } = this.#options
     if ((known.isLeaving(record) || isLeaving(known.upstreams.get(record.id)?.record, record.bornAt)) && !known.upstreams.isReplaced(record)) return
-    this.#endedAt.set(incarnation, performance.now())
     const fingerprints = runs.listFingerprints(incarnation)
     const { revision } = crashes
+    this.#observedEnds.record(record, fingerprints, noticedAt)
     crashes.recordLoss(incarnation, fingerprints)
     if (crashes.revision === revision) return
     log.warn('upstream-died', { step: Step.Dispatch, peer: record.address, upstream: incarnation, contents: [...fingerprints].map(abbreviateFingerprint).join(',') })
--- a/src/entry/SuspectGate.ts
+++ b/src/entry/SuspectGate.ts
@@ -18,6 +18,11 @@
 const SILENT_MILLISECONDS = 3_000
 /** Fraction of the remaining time that a suspect may wait, so that it can still run, or be sent again after a refusal. */
 const WAIT_FRACTION = 0.5
+/**
+ * Time after a loss before a request is refused for its losses. Other hosts may report meanwhile that the upstreams ended at
+ * the same moment under many requests; such a report takes up to three times 55 ms between regions, and the look before it.
+ */
+const POISON_SETTLE_MILLISECONDS = 400
 /** Time after a request's deadline in which the end of its upstream is noticed and reported. */
 const REPORT_MILLISECONDS = 3_000
 
@@ -59,10 +64,9 @@
    * @returns a function that ends the run, or the reason for the refusal
    */
   async enter (request: GatedRequest): Promise<(() => void) | RefusalReason> {
-    const { crashes, detector } = this.#options
     const { fingerprint } = request
-    await detector.checkCopies(fingerprint)
-    if (crashes.isPoison(fingerprint)) return RefusalReason.Poison
+    await this.#options.detector.checkCopies(fingerprint)
+    if (this.#isRefused(fingerprint)) return RefusalReason.Poison
     return this.isSuspect(fingerprint) ? await this.#waitForPermit(request) : () => {}
   }
 
@@ -74,19 +78,29 @@
     return this.#options.crashes.countLosses(fingerprint) > 0
   }
 
+  #isRefused (fingerprint: string): boolean {
+    const { crashes } = this.#options
+    return crashes.isPoison(fingerprint) && crashes.getLossAge(fingerprint) >= POISON_SETTLE_MILLISECONDS
+  }
+
   async #waitForPermit ({ fingerprint, deadline, cancelled }: GatedRequest): Promise<(() => void) | RefusalReason> {
     const { crashes, log } = this.#options
     const holder = randomUUID()
     const waitUntil = performance.now() + (deadline - performance.now()) * WAIT_FRACTION
     while (performance.now() < waitUntil && !cancelled.aborted) {
+      if (this.#isRefused(fingerprint)) return RefusalReason.Poison
+      if (crashes.isPoison(fingerprint)) {
+        await pause(RETRY_PAUSE_MILLISECONDS)
+        continue
+      }
       const permitHost = this.#findPermitHost(fingerprint)
       if (permitHost === undefined) return RefusalReason.SuspectWaiting
       const isGranted = await this.#call(permitHost, fingerprint, holder, deadline - performance.now() + REPORT_MILLISECONDS)
-      if (crashes.isPoison(fingerprint)) return RefusalReason.Poison
-      if (isGranted) {
+      if (isGranted && !crashes.isPoison(fingerprint)) {
         log.info('suspect-permitted', { step: Step.Dispatch, peer: permitHost, content: abbreviateFingerprint(fingerprint), losses: crashes.countLosses(fingerprint) })
         return () => { this.#release(permitHost, fingerprint, holder) }
       }
+      if (isGranted) this.#release(permitHost, fingerprint, holder)
       await pause(RETRY_PAUSE_MILLISECONDS)
     }
     return cancelled.aborted ? RefusalReason.Cancelled : RefusalReason.SuspectWaiting
--- a/src/entry/UpstreamSender.ts
+++ b/src/entry/UpstreamSender.ts
@@ -162,8 +162,9 @@
   }
 
   #recordSuccess (run: UpstreamRun): void {
-    const { runs, crashes, onExcuse } = this.#options
+    const { runs, crashes, detector, onExcuse } = this.#options
     runs.complete(run)
+    detector.recordAnswer(run)
     if (crashes.countLosses(run.fingerprint) === 0) return
     crashes.excuse(run.fingerprint)
     onExcuse()
