Confirm the end of a response without a length by the upstream that began it

Cause: the end was confirmed by a connection to the address of the upstream, which shows only that something listens there. When an upstream ended behind a partition and another start listened at its address before it was announced, half of a response passed for whole.

Change: the entry host sends a health request of the service to the address and compares the identifier in the answer (header Instance-Id, known in platform/wire only). The request is sent only for such a response, shared by all who wait for it, at most three at a time for one upstream. An upstream that sheds it or is slow is asked again for up to 3 s, within the response's deadline.

The detector's tests of open connections as signs of life are replaced by tests of the identifier, as a connection alone no longer counts.

--- a/__tests__/crashes/savedLosses.test.ts
+++ b/__tests__/crashes/savedLosses.test.ts
@@ -53,7 +53,7 @@
   const record = createUpstreamRecord()
   known.merge(createFollowReply({ upstreams: [{ record, isLost: false }] }))
   runs.begin('f', record)
-  const detector = new CrashDetector({ runs, crashes, known, probe: async () => ListenerState.Refused, onChange: () => {}, saveLosses: (revision) => sharer.save(revision), log: silentLog })
+  const detector = new CrashDetector({ runs, crashes, known, probe: async () => ListenerState.Refused, identify: async () => undefined, onChange: () => {}, saveLosses: (revision) => sharer.save(revision), log: silentLog })
   let isSettled = false
   detector.checkUpstream(record).then(() => { isSettled = true }, () => {})
   return { countStored: () => stored, isSettled: () => isSettled }
--- a/__tests__/entry/CrashDetector.test.ts
+++ b/__tests__/entry/CrashDetector.test.ts
@@ -12,7 +12,7 @@
 
 const silentLog = { info: () => {}, warn: () => {}, error: () => {} }
 
-/** A detector with one run of the request `f` at an upstream, which connections find in the given states in turn. */
+/** A detector with one run of the request `f` at an upstream, which connections find in the given states in turn. Each health request finds the next state, too. */
 function createDetector (...states: ListenerState[]): { detector: CrashDetector, crashes: CrashTable, known: KnownState, runs: UpstreamRuns, record: UpstreamRecord } {
   const runs = new UpstreamRuns()
   const crashes = new CrashTable()
@@ -20,7 +20,9 @@
   const record = createUpstreamRecord()
   known.merge(createFollowReply({ upstreams: [{ record, isLost: false }] }))
   let probes = 0
-  const detector = new CrashDetector({ runs, crashes, known, probe: async () => states[Math.min(probes++, states.length - 1)]!, onChange: () => {}, saveLosses: async () => {}, log: silentLog })
+  const probe = async (): Promise<ListenerState> => states[Math.min(probes++, states.length - 1)]!
+  const identify = async ({ id }: UpstreamRecord): Promise<string | undefined> => await probe() === ListenerState.Open ? id : undefined
+  const detector = new CrashDetector({ runs, crashes, known, probe, identify, onChange: () => {}, saveLosses: async () => {}, log: silentLog })
   runs.begin('f', record)
   return { detector, crashes, known, runs, record }
 }
@@ -96,23 +98,31 @@
 })
 
 // Guards against a part of an answer that looks whole because its upstream was still alive shortly before.
-test('an upstream is alive only if a connection that was opened after the question shows it', async () => {
-  const { detector, record } = createDetector(ListenerState.Open, ListenerState.Refused)
+test('an upstream is alive only if a health request that was sent after the question shows it', async () => {
+  const { detector, record } = createDetector(ListenerState.Open, ListenerState.Unreachable)
   const earlier = detector.isAlive(record, performance.now())
   const later = [detector.isAlive(record, performance.now()), detector.isAlive(record, performance.now())]
   assert.equal(await earlier, true)
   assert.deepEqual(await Promise.all(later), [false, false])
 })
 
-for (const [state, isAlive] of [[ListenerState.Open, true], [ListenerState.ClosedEarly, true], [ListenerState.Refused, false], [ListenerState.Unreachable, false], [ListenerState.Unknown, false]] as const) {
-  test(`an upstream counts as ${isAlive ? '' : 'not '}alive behind an answer without a length when connections are ${state}`, async () => {
-    const { detector, record } = createDetector(state)
+// Guards against a part of an answer that looks whole because another start of its upstream accepts connections at the address.
+for (const { name, identifier, isAlive } of [
+  { name: 'the upstream itself', identifier: 'i-1', isAlive: true },
+  { name: 'another upstream', identifier: 'i-1-again', isAlive: false },
+  { name: 'nobody', identifier: undefined, isAlive: false }
+]) {
+  test(`an upstream counts as ${isAlive ? '' : 'not '}alive behind an answer without a length when ${name} answers the health request`, async () => {
+    const known = new KnownState()
+    const record = createUpstreamRecord()
+    known.merge(createFollowReply({ upstreams: [{ record, isLost: false }] }))
+    const detector = new CrashDetector({ runs: new UpstreamRuns(), crashes: new CrashTable(), known, probe: async () => ListenerState.Open, identify: async () => identifier, onChange: () => {}, saveLosses: async () => {}, log: silentLog })
     assert.equal(await detector.isAlive(record, performance.now()), isAlive)
   })
 }
 
-test('an upstream that closes its sockets one after another, or announced that it leaves, is not alive for that', async () => {
-  const { detector, known, record } = createDetector(ListenerState.ClosedEarly, ListenerState.Refused)
+test('an upstream that announced that it leaves is not alive for that', async () => {
+  const { detector, known, record } = createDetector(ListenerState.Unreachable)
   known.merge(createFollowReply({ upstreams: [{ record: { ...record, sequence: 2, readiness: UpstreamReadiness.Draining }, isLost: false }] }))
   assert.equal(await detector.isAlive(record, performance.now()), false)
 })
--- a/__tests__/entry/ObservedEnds.test.ts
+++ b/__tests__/entry/ObservedEnds.test.ts
@@ -32,7 +32,7 @@
   const known = new KnownState()
   const records = [1, 2, 3, 4].map((number) => createUpstreamRecord({ id: `u-${number}`, address: `127.0.0.1:${9_000 + number}` }))
   known.merge(createFollowReply({ upstreams: records.map((record) => ({ record, isLost: false })) }))
-  const detector = new CrashDetector({ runs, crashes, known, probe: async () => state, onChange: () => {}, saveLosses: async () => {}, log: silentLog })
+  const detector = new CrashDetector({ runs, crashes, known, probe: async () => state, identify: async () => undefined, onChange: () => {}, saveLosses: async () => {}, log: silentLog })
   return { detector, crashes, known, runs, records, setState: (next) => { state = next } }
 }
 
--- a/__tests__/support/createSender.ts
+++ b/__tests__/support/createSender.ts
@@ -9,6 +9,7 @@
 import { Counters } from '../../src/observe/Counters.js'
 import { StopWindow } from '../../src/limits/StopWindow.js'
 import type { CallPeer } from '../../src/transport/CallPeer.js'
+import { ListenerState, probeListener } from '../../src/utils/probeListener.js'
 
 const silentLog = { info: () => {}, warn: () => {}, error: () => {} }
 
@@ -25,13 +26,18 @@
 export function createSender ({ counters = new Counters(), log = silentLog, ...options }: Pick<UpstreamSenderOptions, 'known' | 'loads' | 'connections' | 'protocol' | 'answerBufferBytes'> & Partial<Pick<UpstreamSenderOptions, 'counters' | 'log'>> & Pick<CrashDetectorOptions, 'probe'>): SenderParts {
   const runs = new UpstreamRuns()
   const crashes = new CrashTable()
-  const detector = new CrashDetector({ runs, crashes, known: options.known, probe: options.probe, onChange: () => {}, saveLosses: async () => {}, log: silentLog })
+  const detector = new CrashDetector({ runs, crashes, known: options.known, probe: options.probe, identify: identifyByConnection(options.probe), onChange: () => {}, saveLosses: async () => {}, log: silentLog })
   const gate = new SuspectGate({ crashes, detector, listControlHosts: () => ['control'], callPeer: createPermitCalls(), log: silentLog })
   const notices = new UpstreamNotices({ hostName: 'entry-1', known: options.known, loads: options.loads, onLeaving: () => {}, counters: new Counters(), log: silentLog })
   const sender = new UpstreamSender({ ...options, notices, runs, crashes, detector, onExcuse: () => {}, stopWindow: new StopWindow(), counters, log })
   return { gate, runs, sender, crashes, detector }
 }
 
+/** @returns what takes an upstream that accepts connections for the expected one, since the upstreams of these tests answer no health requests */
+function identifyByConnection (probe: CrashDetectorOptions['probe'] = (address) => probeListener(address, 400, 50)): CrashDetectorOptions['identify'] {
+  return async ({ id, address }) => await probe(address) === ListenerState.Open ? id : undefined
+}
+
 /** @returns calls that a control host with a crash table of its own answers */
 function createPermitCalls (): CallPeer {
   const desk = new SuspectDesk({ crashes: new CrashTable(), onChange: () => {} })
--- a/__tests__/utils/FreshLooks.test.ts
+++ b/__tests__/utils/FreshLooks.test.ts
@@ -24,3 +24,21 @@
   assert.equal(await next, true)
   assert.equal(await looks.look('a', async () => true), true)
 })
+
+// Guards against health requests that take all slots and connections of a busy upstream.
+test('few looks at a subject run at once, and the next one serves all who ask meanwhile', async () => {
+  const looks = new FreshLooks()
+  const endings: Array<() => void> = []
+  const look = (): Promise<boolean> => new Promise((resolve) => { endings.push(() => { resolve(true) }) })
+  const results: Array<Promise<boolean>> = []
+  for (let number = 0; number < 10; number += 1) {
+    results.push(looks.look('a', look))
+    await new Promise((resolve) => { setTimeout(resolve, 30) })
+  }
+  assert.equal(endings.length, 3)
+  endings[0]!()
+  await new Promise((resolve) => { setTimeout(resolve, 10) })
+  assert.equal(endings.length, 4)
+  for (const end of endings) end()
+  assert.deepEqual(await Promise.all(results), results.map(() => true))
+})
--- a/src/entry/CrashDetector.ts
+++ b/src/entry/CrashDetector.ts
@@ -35,6 +35,8 @@
   known: KnownState
   /** Opens a connection to an address for a short time. */
   probe?: (address: string) => Promise<ListenerState>
+  /** Asks which upstream answers at the address of a record; resolves with undefined when none names itself. */
+  identify: (record: UpstreamRecord) => Promise<string | undefined>
   /** Called after the crash table changed here. */
   onChange: () => void
   /** Waits for a limited time until a control host has stored what changed in the crash table after a revision. */
@@ -75,16 +77,17 @@
 
   /**
    * Finds out whether an upstream has not ended. Unlike {@link CrashDetector.checkUpstream} it counts neither a check that began
-   * before, nor an announcement that the upstream leaves, nor the want of an own connection as a sign of life.
+   * before, nor an announcement that the upstream leaves, nor a connection alone, which another start may have accepted.
    *
    * @param record - the upstream
    * @param begunAt - when the run began whose answer is to be confirmed; an end that was found before says nothing about it
-   * @returns whether a connection that was opened after this call showed that the upstream lives
+   * @returns whether an answer to a request that was sent after this call named the upstream
    */
   async isAlive (record: UpstreamRecord, begunAt: number): Promise<boolean> {
+    const { identify } = this.#options
     if (this.#observedEnds.hasEndedSince(record, begunAt)) return false
-    const isListening = await this.#looks.look(getIncarnation(record), async () => [ListenerState.Open, ListenerState.ClosedEarly].includes(await this.#probe(record.address)))
-    return isListening && !this.#observedEnds.hasEndedSince(record, begunAt)
+    const hasAnswered = await this.#looks.look(getIncarnation(record), async () => await identify(record) === record.id)
+    return hasAnswered && !this.#observedEnds.hasEndedSince(record, begunAt)
   }
 
   /** Checks the upstreams of copies in flight, so that a request does not end a second upstream while the first one is silent. */
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -27,6 +27,7 @@
 import { ServiceAdmission } from './ServiceAdmission.js'
 import { SuspectGate } from './SuspectGate.js'
 import { UpstreamConnections } from './UpstreamConnections.js'
+import { UpstreamIdentifier } from './UpstreamIdentifier.js'
 import { UpstreamLoads } from './UpstreamLoads.js'
 import { UpstreamNotices } from './UpstreamNotices.js'
 import type { UpstreamProtocol } from './UpstreamProtocol.js'
@@ -98,7 +99,8 @@
     this.#eventLoopMonitor = new EventLoopMonitor(options.log, options.counters)
     this.#follower = this.#createFollower()
     this.#crashSharer = this.#createCrashSharer()
-    this.#crashDetector = new CrashDetector({ runs: this.#runs, crashes: this.#crashes, known: this.#known, onChange: () => { this.#crashSharer.share() }, saveLosses: (revision) => this.#crashSharer.save(revision), log: options.log })
+    const identifier = new UpstreamIdentifier({ known: this.#known, connections: this.#connections, protocol: options.protocol })
+    this.#crashDetector = new CrashDetector({ runs: this.#runs, crashes: this.#crashes, known: this.#known, identify: (record) => identifier.identify(record), onChange: () => { this.#crashSharer.share() }, saveLosses: (revision) => this.#crashSharer.save(revision), log: options.log })
     const guestListener = new GuestListener({ ...options, revocationMilliseconds: () => options.settings().revocationMilliseconds, known: this.#known, relay: this.#createRelay(), stopWindow: this.#stopWindow, bodies: options.memory.bodies })
     this.#listener = new HttpListener({
       address: options.settings().guestAddress,
--- a/src/entry/UpstreamProtocol.ts
+++ b/src/entry/UpstreamProtocol.ts
@@ -34,4 +34,6 @@
   readLoad (answer: ExchangeAnswer): LoadReport | undefined
   /** @returns what the upstream says of itself in the head of an answer */
   readNotice (head: AnswerHead): UpstreamNotice
+  /** @returns identifier of the upstream that the head of an answer to a health request names, undefined when it names none */
+  readIdentifier (head: AnswerHead): string | undefined
 }
