Bound what connections hold, and read them in portions

Cause: the HTTP library parses all that one read of a connection returns (up to 64 KB: 1,600 requests or 10,900 pieces of a body) before a pause has an effect, and nothing counted heads that arrive, requests that wait and responses that are not read. Change: each listener passes on what arrives in portions of 512 bytes (4 KB within a body), and only while its caller reads its responses. One budget of the process counts what connections hold, a part of the budget of all messages; beyond it connections are closed whose request still arrives, then idle ones, then those whose caller reads nothing. A response that is not read for the idle limit closes its connection. Time limits of heads are checked each second.

--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -178,6 +178,7 @@
       headerBytes: settings.limits.headerBytes,
       handle: (request, response, arrivedAt) => guestInterface.handle(request, response, arrivedAt),
       onMalformed: (status) => guestInterface.refuseMalformed(status),
+      connectionMemory: this.#memory.connections,
       onFault: recordListenerFault({ counters, log: this.#log }, 'guest')
     })
   }
@@ -190,6 +191,7 @@
       headerBytes: settings.limits.headerBytes,
       handle: (request, response) => operatorInterface.handle(request, response),
       onMalformed: (status) => `HTTP/1.1 ${status} Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
+      connectionMemory: this.#memory.connections,
       onFault: recordListenerFault({ counters, log: this.#log }, 'operator')
     })
   }
--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -105,6 +105,7 @@
       headerBytes: MAXIMUM_HEADER_BYTES,
       handle: (request, response, arrivedAt) => guestListener.handle(request, response, arrivedAt),
       onMalformed: options.malformedAnswer,
+      connectionMemory: options.memory.connections,
       onFault: recordListenerFault(options, 'guest')
     })
   }
--- a/src/limits/HeldAmount.ts
+++ b/src/limits/HeldAmount.ts
@@ -26,6 +26,12 @@
     return true
   }
 
+  /** @param growth - a change of what is held, whether it fits or not: the amount is there already */
+  change (growth: number): void {
+    this.#held += growth
+    this.#within?.change(growth)
+  }
+
   /** @param amount - an amount that is no longer held */
   release (amount: number): void {
     this.#held -= amount
--- a/src/limits/HostMemory.ts
+++ b/src/limits/HostMemory.ts
@@ -1,10 +1,14 @@
+import { getHeapStatistics } from 'node:v8'
 import { AnswerBudget } from '../relay/AnswerBudget.js'
+import { ConnectionMemory } from './ConnectionMemory.js'
 import { HeldAmount } from './HeldAmount.js'
 import type { MessagePools } from './MessageMemory.js'
 import { PieceRate } from './PieceRate.js'
 
 /** Small pieces of all messages that a host handles per second: about a fifth of the processor of the smallest machines. */
 const PIECES_PER_SECOND = 16_384
+/** Part of the heap that connections may hold beside the bodies of their messages: the program takes a quarter to a half of it. */
+const CONNECTION_HEAP_FRACTION = 0.3
 
 /** Bounds on what messages hold at a host, in bytes unless said otherwise. */
 export interface HostMemoryLimits {
@@ -18,6 +22,8 @@
   answerBytes: number
   /** Number of answers that are passed on while they arrive. */
   streams: number
+  /** Connections of all listeners beside the bodies of their messages; by default a part of the heap limit of the process. */
+  connectionBytes?: number | undefined
 }
 
 /**
@@ -31,13 +37,16 @@
   readonly calls: MessagePools
   /** For answers of upstreams. */
   readonly answers: AnswerBudget
+  /** For the connections of all listeners: data that was read and is held, and data that waits to be written. */
+  readonly connections: ConnectionMemory
   readonly #all: HeldAmount
 
   /** @param limits - bounds on each kind of message, and on all together */
-  constructor ({ totalBytes, reservedBytes, bodyBytes, answerBytes, streams }: HostMemoryLimits) {
+  constructor ({ totalBytes, reservedBytes, bodyBytes, answerBytes, streams, connectionBytes = getHeapStatistics().heap_size_limit * CONNECTION_HEAP_FRACTION }: HostMemoryLimits) {
     const small = this.#all = new HeldAmount(totalBytes)
     const large = new HeldAmount(totalBytes - reservedBytes, small)
     const pieces = new PieceRate(PIECES_PER_SECOND)
+    this.connections = new ConnectionMemory(connectionBytes, small)
     this.bodies = { small, large: new HeldAmount(bodyBytes, large), pieces }
     this.calls = { small, large: new HeldAmount(reservedBytes, small), pieces }
     this.answers = new AnswerBudget(answerBytes, streams, { small, large, pieces })
--- a/src/transport/HostTransport.ts
+++ b/src/transport/HostTransport.ts
@@ -21,7 +21,7 @@
   /** Maps a peer's address to the address to connect to. */
   dialAddress: (address: string) => string
   /** Memory of the calls, of the answers to them, and of the bodies of forwarded requests; unbounded by default. */
-  memory?: Pick<HostMemory, 'bodies' | 'calls'>
+  memory?: Pick<HostMemory, 'bodies' | 'calls' | 'connections'>
   /** Called for each fault at the listener. */
   onFault?: HttpListenerOptions['onFault']
 }
@@ -50,6 +50,7 @@
       headerBytes: MAXIMUM_HEADER_BYTES,
       handle: (request, response) => this.server.handle(request, response),
       onMalformed: (status) => `HTTP/1.1 ${status} Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
+      connectionMemory: memory?.connections,
       onFault
     })
     this.callPeer = (address, method, parameters, timeoutMilliseconds) => this.#client.call(address, method, parameters, timeoutMilliseconds)
--- a/src/transport/HttpListener.ts
+++ b/src/transport/HttpListener.ts
@@ -4,12 +4,14 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { HibiscusrelayError } from '../errors/HibiscusrelayError.js'
 import { errorTexts } from '../errors/errorTexts.js'
+import type { ConnectionMemory } from '../limits/ConnectionMemory.js'
 import { DiscardedBytes } from '../limits/DiscardedBytes.js'
 import { Step } from '../types/Step.js'
 import { passPollPhase } from '../utils/passPollPhase.js'
 import { splitAddress } from '../utils/splitAddress.js'
 import { waitUntil } from '../utils/waitUntil.js'
 import { closeAfterCaller } from './closeAfterCaller.js'
+import { ConnectionReader } from './ConnectionReader.js'
 import { ConnectionTurns } from './ConnectionTurns.js'
 import { discardArriving } from './discardArriving.js'
 import { ListenerFault } from './ListenerFault.js'
@@ -19,6 +21,10 @@
 const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 30_000
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000
 const REQUEST_TIMEOUT_MILLISECONDS = 60_000
+/** How long a response may wait for a caller that reads nothing of it, unless a plan sets the idle limit of connections. */
+const UNREAD_TIMEOUT_MILLISECONDS = 15_000
+/** How often connections are checked for time limits and responses that are not read. */
+const CHECK_INTERVAL_MILLISECONDS = 1_000
 /** Connections that the kernel accepts for a listener of Node.js while the process is late. */
 const ACCEPT_QUEUE_LENGTH = 511
 
@@ -41,6 +47,8 @@
   handle: (request: IncomingMessage, response: ServerResponse, arrivedAt: number) => Promise<void>
   /** Creates the raw answer, with this status, to bytes that are not a valid HTTP request; `reason` is the error code of Node.js. */
   onMalformed: (status: number, reason: string) => string
+  /** Memory of the connections of all listeners of the process; unbounded by default. */
+  connectionMemory?: ConnectionMemory | undefined
   /** Called for each fault, for counters and logs. */
   onFault?: (fault: ListenerFault, details: ListenerFaultDetails) => void
 }
@@ -52,6 +60,9 @@
   readonly #responses = new Set<ServerResponse>()
   readonly #turns = new ConnectionTurns()
   readonly #connections = new Set<Socket>()
+  readonly #readers = new Map<Socket, ConnectionReader>()
+  #unreadTimeoutMilliseconds = UNREAD_TIMEOUT_MILLISECONDS
+  #checkTimer: NodeJS.Timeout | undefined
   /** Connections whose last answer has been written, while their callers may still send. */
   readonly #leaving = new Set<Socket>()
   /** Rate of what is read from the connections in `#leaving`. */
@@ -70,12 +81,17 @@
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MILLISECONDS,
       headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
       requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+      connectionsCheckingInterval: CHECK_INTERVAL_MILLISECONDS,
       noDelay: true
     }, (request, response) => { this.#serve(request, response).catch((error: unknown) => { this.#breakOff(request, response, error) }) })
     this.#server.on('connection', (socket) => {
       this.#accepted += 1
       this.#connections.add(socket)
-      socket.once('close', () => { this.#connections.delete(socket) })
+      this.#readers.set(socket, new ConnectionReader(socket, options.connectionMemory))
+      socket.once('close', () => {
+        this.#connections.delete(socket)
+        this.#readers.delete(socket)
+      })
       // The HTTP library calls this method behind the last answer.
       socket.destroySoon = () => { this.#endConnection(socket) }
     })
@@ -100,6 +116,7 @@
    */
   setIdleTimeout (milliseconds: number): void {
     this.#server.keepAliveTimeout = milliseconds
+    this.#unreadTimeoutMilliseconds = milliseconds
   }
 
   /**
@@ -115,6 +132,8 @@
       })
       this.#server.listen(port, host, () => { resolve() })
     })
+    this.#checkTimer = setInterval(() => { this.#closeUnread() }, CHECK_INTERVAL_MILLISECONDS).unref()
+    this.#server.once('close', () => { clearInterval(this.#checkTimer) })
   }
 
   /** From now on asks each caller, with `connection: close`, to close its connection after the answer, also those of requests in flight. */
@@ -144,6 +163,11 @@
     this.#server.closeAllConnections()
   }
 
+  #closeUnread (): void {
+    const now = performance.now()
+    for (const reader of this.#readers.values()) reader.closeIfUnread(now, this.#unreadTimeoutMilliseconds)
+  }
+
   /** Closes a connection whose timer has run out, unless something has arrived while the process was late. */
   async #closeIfIdle (socket: Socket): Promise<void> {
     const { bytesRead } = socket
@@ -176,11 +200,14 @@
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAt = performance.now()
+    const reader = this.#readers.get(request.socket)
+    reader?.beginRequest(request, response)
     if (!await this.#turns.take(request, response)) {
       this.#reportFault(ListenerFault.RequestDropped, request.socket, { path: request.url, cause: this.#leaving.has(request.socket) ? 'connection-closing' : 'caller-left' })
       request.resume()
       return
     }
+    reader?.beginTurn(request)
     this.#responses.add(response)
     if (this.#isClosing) askToDisconnect(response)
     response.once('close', () => { this.#responses.delete(response) })
@@ -210,6 +237,7 @@
     if (this.#malformed.has(socket) || !socket.writable) return
     this.#malformed.add(socket)
     this.#reportFault(ListenerFault.Malformed, socket, { cause: error.code ?? 'malformed' })
+    this.#readers.get(socket as Socket)?.stop()
     discardArriving(socket as Socket, this.#discardRate)
     if (!await this.#turns.waitForLast(socket) || !socket.writable) return
     const status = error.code === 'HPE_HEADER_OVERFLOW' ? 431 : error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400
@@ -223,6 +251,7 @@
 
   #endConnection (socket: Socket): void {
     if (!socket.writable) return
+    this.#readers.get(socket)?.stop()
     this.#leaving.add(socket)
     socket.once('close', () => { this.#leaving.delete(socket) })
     closeAfterCaller(socket, this.#discardRate)
