Treat a status outside 100 to 599 as a fault of the upstream, and end answers without a body at their head

Cause: 600 to 999 went through to guests, and the HTTP library failed 204 and 304 with a content-length for the missing bytes, so that a valid 304 became 502. Change: such a status breaks off the exchange like bytes that are no answer; an answer with 204 or 304 ends with its head, and its connection is closed if the head announces a body.

--- a/src/errors/errorTexts.ts
+++ b/src/errors/errorTexts.ts
@@ -8,6 +8,7 @@
   unsentRest: () => 'the answer was complete before its request was sent',
   foreignAnswer: () => 'the answer belongs to another request, or to none',
   peerRefused: (method: string, message: string) => `the peer refused ${method}: ${message}`,
+  statusUnknown: (status: number) => `the status ${status} of the answer is not one of HTTP`,
   answerEndUnknown: () => 'another answer follows on the connection, and it is not known where the first one ends',
   undelimitedAnswerTooLarge: (bytes: number) => `an answer that only the end of its connection delimits has more than ${bytes} bytes`,
   tooManyLargeAnswers: () => 'too many large answers are passed on at the same time',
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -9,7 +9,7 @@
 import { classifyExchangeError } from './classifyExchangeError.js'
 import type { ExchangeAnswer, ExchangeRequest } from './exchange.js'
 import { findCopy } from './findCopy.js'
-import { hasDelimitedBody } from './hasDelimitedBody.js'
+import { BODILESS_STATUSES, hasDelimitedBody, type AnswerFraming } from './hasDelimitedBody.js'
 import type { HeaderField } from './RelayedRequest.js'
 import { RepeatedAnswer } from './RepeatedAnswer.js'
 import { separateAnswers } from './separateAnswers.js'
@@ -25,6 +25,9 @@
 const DISCARD_PAUSE_MILLISECONDS = 250
 /** Interim responses (status 1xx) precede the answer; they are no part of it. */
 const MINIMUM_FINAL_STATUS = 200
+/** Statuses that HTTP has (RFC 9110, 15): the server side of the HTTP library cannot write one below, and guests cannot know one above. */
+const MINIMUM_STATUS = 100
+const MAXIMUM_STATUS = 599
 
 /** Handles one exchange: records whether bytes were written, collects the answer and enforces the deadline. */
 export class AnswerCollector implements Dispatcher.DispatchHandler {
@@ -93,13 +96,14 @@
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+    if (status < MINIMUM_STATUS || status > MAXIMUM_STATUS) return this.#abort(ExchangeFailure.Broken, errorTexts.statusUnknown(status))
     if (status < MINIMUM_FINAL_STATUS) return
     this.#status = status
     this.#headers = listHeaders(headers)
     this.#endsWithConnection = !hasDelimitedBody({ method: this.#request.method, status, headers })
     const head = { status, headers: this.#headers }
     this.#request.onHead?.(head)
-    if (this.#request.isHeadSufficient?.(head) === true) this.#endAtHead(controller)
+    if (this.#request.isHeadSufficient?.(head) === true || isBodilessWithFraming({ method: this.#request.method, status, headers })) this.#endAtHead(controller)
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -239,6 +243,12 @@
   }
 }
 
+/** The library would wait for such a body, or fail the answer for its missing bytes. */
+function isBodilessWithFraming ({ method, status, headers }: AnswerFraming): boolean {
+  if (method === 'HEAD' || !BODILESS_STATUSES.has(status)) return false
+  return Number(headers['content-length'] ?? 0) !== 0 || headers['transfer-encoding'] !== undefined
+}
+
 function listHeaders (headers: IncomingHttpHeaders): HeaderField[] {
   return Object.entries(headers).flatMap(([name, value]) => {
     if (Array.isArray(value)) return value.map((each) => ({ name, value: each }))
--- a/src/relay/hasDelimitedBody.ts
+++ b/src/relay/hasDelimitedBody.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 
-const BODILESS_STATUSES = new Set([204, 304])
+/** Answers that have no body, whatever their head says of one. */
+export const BODILESS_STATUSES = new Set([204, 304])
 
 /** What determines where the body of an answer ends. */
 export interface AnswerFraming {
