--- a/src/entry/EntryHostProcess.ts
+++ b/src/entry/EntryHostProcess.ts
@@ -71,6 +71,7 @@
       headerBytes: MAXIMUM_GUEST_HEAD_BYTES,
       handle: (request, response, arrivedAt) => guestListener.handle(request, response, arrivedAt),
       onMalformed: options.malformedAnswer,
+      connectionMemory: options.memory.connections,
       onFault: recordListenerFault(options, 'guest')
     })
   }
