Renew leases of quotas early only after a denial

Each request that was counted as demand marked the leases as too small, so that control hosts renewed them every 100 ms under usual traffic instead of every 500 ms.

--- a/src/limits/BudgetLeaseClient.ts
+++ b/src/limits/BudgetLeaseClient.ts
@@ -84,10 +84,14 @@
     return this.#budgetsByName.get(budget)?.computeWait(amount) ?? 0
   }
 
-  /** Adds an amount to the demand that was refused elsewhere before {@link trySpend} was called. */
-  recordDemand (budget: string, amount: number): void {
+  /**
+   * Adds an amount to the demand that was not counted by {@link trySpend}.
+   *
+   * @param isRefused - whether it was refused elsewhere before, so that leases should be renewed soon
+   */
+  recordDemand (budget: string, amount: number, isRefused = true): void {
     this.#budgetsByName.get(budget)?.recordDemand(amount)
-    this.#hasRefusedSpend = true
+    if (isRefused) this.#hasRefusedSpend = true
   }
 
   /** Records that a spend from a budget was refused by another limit. */
--- a/src/limits/BudgetLeases.ts
+++ b/src/limits/BudgetLeases.ts
@@ -73,9 +73,13 @@
     return this.#rolesByScope.get(scope)?.client.computeWait(budget, amount) ?? 0
   }
 
-  /** Adds an amount to the demand that was refused before {@link trySpend} was called, so that leases follow the full demand. */
-  recordDemand (scope: string, budget: string, amount: number): void {
-    this.#rolesByScope.get(scope)?.client.recordDemand(budget, amount)
+  /**
+   * Adds an amount to the demand that was not counted by {@link trySpend}, so that leases follow the full demand.
+   *
+   * @param isRefused - whether it was refused before, so that leases should be renewed soon
+   */
+  recordDemand (scope: string, budget: string, amount: number, isRefused = true): void {
+    this.#rolesByScope.get(scope)?.client.recordDemand(budget, amount, isRefused)
   }
 
   /** Records that a spend from a budget was refused by another limit. */
