Send the periodic messages of control hosts while quotas are in force

A control host without entry hosts sent no periodic message, so that the others took it for lost after 2.5 s: its leases were not renewed, and a third of the quota was used in a cluster without entry hosts. While an account has a limit each periodic message is sent, with nothing but the sender's location if nothing is queued.

--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -203,6 +203,7 @@
       hasLocalReport: (name) => this.#stateFeed.hasRecentReport(name),
       describeSelf: () => this.#describeSelf(),
       onControlHost: (host) => { this.#controlHosts.recordContact(host) },
+      isContactWanted: () => this.#quotaDesk.isActive,
       onChange: () => { this.#publishChange() },
       log
     })
--- a/src/quota/QuotaDesk.ts
+++ b/src/quota/QuotaDesk.ts
@@ -45,6 +45,11 @@
     options.registerHandler(PeerMethod.TakeQuota, (request: QuotaRequest) => this.#handle(request))
   }
 
+  /** Whether an account has a limit, so that the control hosts must know of each other. */
+  get isActive (): boolean {
+    return this.#leases.isActive
+  }
+
   /**
    * Replaces the accounts when the plan changes.
    *
--- a/src/quota/QuotaLeases.ts
+++ b/src/quota/QuotaLeases.ts
@@ -53,6 +53,11 @@
     return Math.max(1, this.#domains.length)
   }
 
+  /** Whether there are budgets to share. */
+  get isActive (): boolean {
+    return this.#budgets.length > 0
+  }
+
   /** Replaces the budgets; without any, nothing runs. */
   setBudgets (createBudgets: (consumerCount: number) => readonly Budget[]): void {
     const domains = this.#options.listDomains()
@@ -69,7 +74,7 @@
   /** Counts requests of an account as demand, whether they got tokens or not. */
   recordDemand (account: string, amount: number): void {
     this.#checkSuspension()
-    this.#leases.recordDemand(QUOTA_SCOPE, account, amount)
+    this.#leases.recordDemand(QUOTA_SCOPE, account, amount, false)
   }
 
   /** @returns number of tokens taken from the account's bucket, at most the amount */
--- a/src/registry/PeerOutbox.ts
+++ b/src/registry/PeerOutbox.ts
@@ -63,10 +63,14 @@
     throw new Error('the control host did not confirm the upstream record in time')
   }
 
-  /** Sends everything that is queued, unless the previous message is still in flight. */
-  flush (): void {
+  /**
+   * Sends everything that is queued, unless the previous message is still in flight.
+   *
+   * @param isContactWanted - whether to send a message even if nothing is queued, as the peer should know that this host runs and where
+   */
+  flush (isContactWanted = false): void {
     const entryHosts = this.#options.listEntryHosts()
-    if (this.#isFlushing || (this.#pendingRecordsById.size === 0 && this.#pendingRenewalsById.size === 0 && entryHosts.length === 0)) return
+    if (this.#isFlushing || (!isContactWanted && this.#pendingRecordsById.size === 0 && this.#pendingRenewalsById.size === 0 && entryHosts.length === 0)) return
     this.#isFlushing = true
     const renewals = [...this.#pendingRenewalsById.values()]
     this.#pendingRenewalsById.clear()
--- a/src/registry/RegistrySharer.ts
+++ b/src/registry/RegistrySharer.ts
@@ -39,6 +39,8 @@
   /** @returns address and location of this control host */
   describeSelf: () => ControlHost
   onControlHost: (host: ControlHost) => void
+  /** @returns whether each periodic message is sent although there is nothing to share, so that the others know which control hosts run */
+  isContactWanted?: () => boolean
   /** Called when something changed that followers need to know. */
   onChange: () => void
   log: Log
@@ -80,11 +82,11 @@
 
   /** Sends the periodic messages and marks silent upstreams as lost, until {@link stop}. */
   async run (): Promise<void> {
-    const { listPeers, isRemote } = this.#options
+    const { listPeers, isRemote, isContactWanted = () => false } = this.#options
     this.#isRunning = true
     for (let interval = 0; this.#isRunning; interval += 1) {
       const isRemoteDue = interval % INTERVALS_PER_REMOTE_MESSAGE === 0
-      for (const address of listPeers()) if (isRemoteDue || !isRemote(address)) this.#getOutbox(address).flush()
+      for (const address of listPeers()) if (isRemoteDue || !isRemote(address)) this.#getOutbox(address).flush(isContactWanted())
       const lost = this.#options.upstreams.sweep()
       for (const id of lost) this.#options.log.warn('upstream-silent', { step: Step.Registry, peer: id })
       if (lost.length > 0) this.#options.onChange()
