--- a/__tests__/control/ControlCluster.ts
+++ b/__tests__/control/ControlCluster.ts
@@ -157,7 +157,7 @@
       this.onRecord(performance.now(), address, event, fields)
     }
     const process = new ControlHostProcess({
-      settings: () => ({ peerAddress: address, domain: `domain-${index}`, region: 'asturias', dataFolder: '/data', seeds, isFirstStart, wantedVoters: this.#hostCount, toleratedLosses: undefined, announcementMilliseconds: 1_500 }),
+      settings: () => ({ peerAddress: address, domain: `domain-${index}`, region: 'asturias', dataFolder: '/data', seeds, isFirstStart, wantedVoters: this.#hostCount, toleratedLosses: undefined, announcementMilliseconds: 1_500, regions: new Map(Array.from({ length: this.#hostCount }, (_each, number) => [`domain-${number}`, 'asturias'])) }),
       ...this.network.addHost(address),
       restart: () => { events.push('process-restart') },
       random: this.#random,
--- a/__tests__/entry/defectOfHost.test.ts
+++ b/__tests__/entry/defectOfHost.test.ts
@@ -8,6 +8,7 @@
 import { StopWindow } from '../../src/limits/StopWindow.js'
 import { Counters } from '../../src/observe/Counters.js'
 import { refusalCounter } from '../../src/observe/declareCounters.js'
+import { refuse } from '../../src/relay/refuse.js'
 import type { RelayAnswer } from '../../src/relay/RelayAnswer.js'
 import { HttpListener } from '../../src/transport/HttpListener.js'
 import { Outcome } from '../../src/types/Outcome.js'
@@ -48,6 +49,14 @@
   assert.equal(counters.read(refusalCounter(RefusalReason.InternalError)), 1)
 })
 
+// Guards against guests over their quota who are not told when to come back.
+test('an answer with status 429 tells when to come back', async (context) => {
+  const { text } = await askHost(context, async () => ({ ...refuse(RefusalReason.QuotaExceeded), retryAfterMilliseconds: 730 }))
+  assert.match(text, /^HTTP\/1\.1 429 /)
+  assert.match(text, /\r\nretry-after: 0\.73\r\n/i)
+  assert.match(text, /"outcome":"not-run","reason":"quota-exceeded"/)
+})
+
 test('an answer whose head cannot be written is replaced as a whole by one that says unknown', async (context) => {
   const { text } = await askHost(context, async () => ({ outcome: Outcome.Ran, reason: undefined, status: 200, headers: [{ name: 'response-signature', value: 's' }, { name: 'note', value: 'a\u0000b' }], body: Buffer.from('body'), pool: undefined }))
   assert.match(text, /^HTTP\/1\.1 502 /)
--- a/__tests__/placement/shares.test.ts
+++ b/__tests__/placement/shares.test.ts
@@ -73,6 +73,13 @@
   assert.ok(chooseRetryAfter(RefusalReason.ShedWithFreeSlots, 4_000, 0.99) <= 0.1)
 })
 
+// Guards against guests over their quota who come back too early, and are refused for certain.
+test('a guest over its quota is told the whole time until there is a token, also beyond its deadline', () => {
+  assert.equal(chooseRetryAfter(RefusalReason.QuotaExceeded, 300, 0, 1_234.5), 1.235)
+  const latest = chooseRetryAfter(RefusalReason.QuotaExceeded, 300, 0.99, 1_000)
+  assert.ok(latest >= 1 && latest <= 1.5, `${latest}`)
+})
+
 test('a refusal counts as one with free slots only with a load report of its own', () => {
   const load = new UpstreamLoad()
   assert.equal(load.recordRefusal(0), false)
