Let one control host per failure domain grant tokens

While a control host is replaced, two of one domain may run. Both granted the part of the domain, and as the scope names its members by domain, both could be elected as its lease holder. Only the one with the first address does so now.

--- a/__tests__/quota/QuotaDesk.test.ts
+++ b/__tests__/quota/QuotaDesk.test.ts
@@ -22,20 +22,21 @@
   ask: (...row: QuotaRow) => Promise<QuotaGrant | null>
 }
 
-/** Opens one control host in each domain; calls go to the first. */
-function openDesks (context: TestContext, domains: string[]): Fixture {
+/** Opens one control host in each domain, and some further ones in the first domain; calls go to the first. */
+function openDesks (context: TestContext, domains: string[], furtherAddresses: string[] = []): Fixture {
   pauseClock(context)
   const network = new MemoryNetwork()
   const counters = new Counters()
   const events: string[] = []
   const record = (event: string): void => { events.push(event) }
-  const desks = domains.map((domain) => new QuotaDesk({
-    domain,
+  const hosts = [...domains.map((domain) => ({ peerAddress: domain, domain, region: 'asturias' })), ...furtherAddresses.map((peerAddress) => ({ peerAddress, domain: domains[0]!, region: 'asturias' }))]
+  const desks = hosts.map((self) => new QuotaDesk({
+    domain: self.domain,
     listDomains: () => domains,
-    listControlHosts: () => domains.map((name) => ({ peerAddress: name, domain: name, region: 'asturias' })),
+    listControlHosts: () => [self, ...hosts.filter((host) => host !== self)],
     bounds: () => DEFAULT_QUOTA_BOUNDS,
-    callPeer: network.callPeer(domain),
-    registerHandler: network.registerHandler(domain),
+    callPeer: network.callPeer(self.peerAddress),
+    registerHandler: network.registerHandler(self.peerAddress),
     counters,
     log: { info: record, warn: record, error: record }
   }))
@@ -107,6 +108,18 @@
   assert.ok(counters.read('quota.suspended') > 0)
 })
 
+// Guards against two control hosts of one failure domain that each grant its part.
+test('of two control hosts in one failure domain only one grants tokens', async (context) => {
+  const { desks, network, ask, events } = openDesks(context, ['a', 'b', 'c'], ['a-2'])
+  setAccounts(desks, [LIMITED])
+  await advance(context, 10_000)
+  assert.ok((await ask('limited', 100, 0, 0, 100))![0] > 0)
+  const reply = network.callPeer('entry')<QuotaReply>('a-2', PeerMethod.TakeQuota, { client: 'entry', rows: [['limited', 100, 0, 0, 100]] }, CALL_TIMEOUT_MILLISECONDS)
+  await advance(context, 10, 1)
+  assert.deepEqual(await reply, { grants: [null] })
+  assert.equal(events.filter((event) => event === 'lease-holder-elected').length, 1)
+})
+
 // Guards against tokens that many entry hosts hold in advance and use in one window on top of the quota.
 test('tokens in advance stay within half of the overage', async (context) => {
   const { desks, network } = openDesks(context, ['a'])
--- a/src/quota/QuotaDesk.ts
+++ b/src/quota/QuotaDesk.ts
@@ -75,7 +75,8 @@
   }
 
   #handle ({ client, rows }: QuotaRequest): QuotaReply {
-    return { grants: rows.map((row) => this.#grant(client, row)) }
+    const { isMember } = this.#leases
+    return { grants: rows.map((row) => isMember ? this.#grant(client, row) : null) }
   }
 
   #grant (client: string, [name, waiting, inAdvance, held, arrivals]: QuotaRow): QuotaGrant | null {
--- a/src/quota/QuotaLeases.ts
+++ b/src/quota/QuotaLeases.ts
@@ -58,6 +58,13 @@
     return this.#budgets.length > 0
   }
 
+  /** Whether this host is the member of its domain, so that it may grant tokens. */
+  get isMember (): boolean {
+    const { domain, listControlHosts } = this.#options
+    const controlHosts = listControlHosts()
+    return listQuotaMembers(controlHosts).find(({ host }) => host.name === domain)?.host.peerAddress === controlHosts[0]?.peerAddress
+  }
+
   /** Replaces the budgets; without any, nothing runs. */
   setBudgets (createBudgets: (consumerCount: number) => readonly Budget[]): void {
     const domains = this.#options.listDomains()
@@ -110,7 +117,8 @@
     return new BudgetLeases({
       self: domain,
       scopes: [createQuotaScope(this.#domains)],
-      members: () => listQuotaMembers(listControlHosts()),
+      // A host that is not the member of its domain must not be elected in its name.
+      members: () => listQuotaMembers(listControlHosts()).filter(({ host }) => host.name !== domain || this.isMember),
       callPeer,
       registerHandler: (method, handler) => { this.#setHandler(method, handler as unknown as PeerHandler<object, unknown>) },
       timings: { callTimeoutMilliseconds: CALL_TIMEOUT_MILLISECONDS },
--- a/src/quota/QuotaMessages.ts
+++ b/src/quota/QuotaMessages.ts
@@ -21,7 +21,7 @@
 /** Answer to a row: the tokens granted, and the time until there are some if not all waiting requests got one. */
 export type QuotaGrant = [granted: number, waitMilliseconds: number]
 
-/** Answer to a {@link QuotaRequest}: one grant per row in the same order; null for an account that the control host does not know. */
+/** Answer to a {@link QuotaRequest}: one grant per row in the same order; null for an account that the control host does not know, or if another one grants the part of its domain. */
 export interface QuotaReply {
   grants: Array<QuotaGrant | null>
 }
--- a/src/quota/createQuotaScope.ts
+++ b/src/quota/createQuotaScope.ts
@@ -1,6 +1,6 @@
 import type { ControlHost } from '../registry/ControlHost.js'
 import type { LeaseScope } from '../limits/LeaseScope.js'
-import { type Member } from '../types/Member.js'
+import type { Member } from '../types/Member.js'
 import { MemberState } from '../types/MemberState.js'
 
 /** Name of the only scope of account quotas. */
@@ -23,12 +23,16 @@
 }
 
 /**
- * @param controlHosts - control hosts that were in contact recently; of several in one domain the first counts
+ * Lists the members of the scope. Of several control hosts in one domain, as while one is replaced, only that with the first
+ * address counts: two that spend the part of one domain would exceed the quota, and two of one name could both be elected.
+ *
+ * @param controlHosts - this control host and those that were in contact recently
  * @returns one live member per failure domain, named by the domain
  */
 export function listQuotaMembers (controlHosts: readonly ControlHost[]): Member[] {
   const members = new Map<string, Member>()
-  for (const { peerAddress, domain, region } of controlHosts) {
+  const sortedHosts = [...controlHosts].sort((left, right) => left.peerAddress < right.peerAddress ? -1 : 1)
+  for (const { peerAddress, domain, region } of sortedHosts) {
     if (domain === undefined || members.has(domain)) continue
     members.set(domain, {
       host: { name: domain, domain, region: region ?? '', peerAddress, guestAddress: '' },
