--- a/examples/platform/httpCalls.ts
+++ b/examples/platform/httpCalls.ts
@@ -43,11 +43,12 @@
  * @param address - guest address of the entry host, `ip:port`
  * @param path - path and query
  * @param attemptIdentifier - identifier of this attempt, sent as `Attempt-Id`
+ * @param headers - further headers of the request
  */
-export function sendGuestRequest (address: string, path: string, attemptIdentifier: string): Promise<GuestAnswer> {
+export function sendGuestRequest (address: string, path: string, attemptIdentifier: string, headers: Record<string, string> = {}): Promise<GuestAnswer> {
   const [host, port] = address.split(':')
   return new Promise((resolve, reject) => {
-    const outgoing = request({ host, port, path, headers: { Host: 'stock.example', 'Attempt-Id': attemptIdentifier, 'Deadline-Ms': '3000' } }, (answer) => {
+    const outgoing = request({ host, port, path, headers: { Host: 'stock.example', 'Attempt-Id': attemptIdentifier, 'Deadline-Ms': '3000', ...headers } }, (answer) => {
       let text = ''
       answer.on('data', (chunk: Buffer) => { text += chunk.toString() })
       answer.on('error', reject)
