--- a/src/quota/QuotaDesk.ts
+++ b/src/quota/QuotaDesk.ts
@@ -45,6 +45,11 @@
     options.registerHandler(PeerMethod.TakeQuota, (request: QuotaRequest) => this.#handle(request))
   }
 
+  /** Whether an account has a limit, so that the control hosts must know of each other. */
+  get isActive (): boolean {
+    return this.#leases.isActive
+  }
+
   /**
    * Replaces the accounts when the plan changes.
    *
@@ -70,7 +75,8 @@
   }
 
   #handle ({ client, rows }: QuotaRequest): QuotaReply {
-    return { grants: rows.map((row) => this.#grant(client, row)) }
+    const { isMember } = this.#leases
+    return { grants: rows.map((row) => isMember ? this.#grant(client, row) : null) }
   }
 
   #grant (client: string, [name, waiting, inAdvance, held, arrivals]: QuotaRow): QuotaGrant | null {
