--- a/__performance_tests__/placement/NoisyDay.ts
+++ b/__performance_tests__/placement/NoisyDay.ts
@@ -50,6 +50,8 @@
   served: number
   /** Counts of second attempts of the whole day, by what became of them. */
   second: { begun: number, won: number, lost: number, denied: number }
+  /** Number of second attempts after the start, per request. */
+  extraRatio: number
   /** Largest number of second attempts per request in a window of 10 s. */
   largestExtraRatio: number
   /** Time for which slots were in use, in milliseconds. */
@@ -153,6 +155,7 @@
       withinObjective: this.#withinObjective / sorted.length,
       served: this.#served / sorted.length,
       second: { begun: read('begun'), won: read('won'), lost: read('lost'), denied: read('denied') },
+      extraRatio: this.#extraAttempts.filter((at) => at >= WARM_UP_MILLISECONDS).length / sorted.length,
       largestExtraRatio: this.#findLargestExtraRatio(),
       slotMilliseconds: this.#slotMilliseconds
     }
