--- a/__tests__/placement/AdmissionQueue.test.ts
+++ b/__tests__/placement/AdmissionQueue.test.ts
@@ -121,3 +121,26 @@
   assert.equal(computeMaximumWait({ objectiveMilliseconds: 600, remainingMilliseconds: 1_500, expectedRunMilliseconds: 900 }), 150)
   assert.equal(computeMaximumWait({ objectiveMilliseconds: 600, remainingMilliseconds: 500, expectedRunMilliseconds: 600 }), 0)
 })
+
+// Guards against second attempts that take the places of requests, or that keep them after their end.
+test('a further attempt gets a place only while enough are free and nobody waits, and gives it back', async () => {
+  const queue = new AdmissionQueue(() => 8)
+  for (let sent = 0; sent < 5; sent += 1) await queue.enter({ priority: 0, maximumWaitMilliseconds: 0 }, neverCancelled)
+  assert.equal(queue.tryTakeSpare(), true)
+  assert.equal(queue.inFlight, 6)
+  assert.equal(queue.tryTakeSpare(), false)
+  const holdBefore = queue.meanHoldMilliseconds
+  queue.returnSpare()
+  assert.equal(queue.inFlight, 5)
+  assert.equal(queue.meanHoldMilliseconds, holdBefore)
+})
+
+test('a place that a further attempt gives back admits a waiting request', async () => {
+  const queue = new AdmissionQueue(() => 2)
+  await queue.enter({ priority: 0, maximumWaitMilliseconds: 0 }, neverCancelled)
+  assert.equal(queue.tryTakeSpare(), true)
+  const waiting = queue.enter({ priority: 0, maximumWaitMilliseconds: 1_000 }, neverCancelled)
+  assert.equal(queue.hasSpare, false)
+  queue.returnSpare()
+  assert.equal(await waiting, AdmissionResult.Admitted)
+})
--- a/__tests__/placement/shares.test.ts
+++ b/__tests__/placement/shares.test.ts
@@ -130,3 +130,30 @@
   load.recordFailure(1_000)
   assert.equal(load.isAvoided(1_250), false)
 })
+
+// Guards against second attempts that add to the retries of partitioned hosts instead of counting among them.
+test('retries and second attempts of hosts that know nothing of each other stay within the bound together', () => {
+  const bound = { ratio: 0.2, allowance: 112, windowMilliseconds: 10_000 }
+  const hosts = Array.from({ length: HOST_COUNT }, () => ({ retries: new RetryShare(bound), seconds: new RetryShare({ ratio: 0.05, allowance: 0, windowMilliseconds: 10_000 }) }))
+  let requests = 0
+  let retryCount = 0
+  let secondCount = 0
+  for (let now = 0; now < 10_000; now += 50) {
+    for (const { retries, seconds } of hosts) {
+      for (const share of [retries, seconds]) share.recordRequest(now)
+      requests += 1
+      if (seconds.maySpend(now, HOST_COUNT) && retries.trySpend(now, HOST_COUNT) && seconds.trySpend(now, HOST_COUNT)) secondCount += 1
+      if (retries.trySpend(now, HOST_COUNT)) retryCount += 1
+    }
+  }
+  assert.ok(secondCount > 0 && secondCount <= 0.05 * requests, `${secondCount} second attempts of ${requests} requests`)
+  assert.ok(retryCount + secondCount <= bound.ratio * requests + bound.allowance, `${retryCount} retries and ${secondCount} second attempts of ${requests} requests`)
+})
+
+test('the present time of work that an upstream reported counts while the report is fresh', () => {
+  const load = new UpstreamLoad()
+  assert.equal(load.getWorkPercent(0), undefined)
+  load.recordReport({ running: 1, waiting: 0, slots: 4, workPercent: 250 }, 1_000)
+  assert.equal(load.getWorkPercent(1_600), 250)
+  assert.equal(load.getWorkPercent(1_601), undefined)
+})
