--- a/__tests__/entry/secondAttempts.test.ts
+++ b/__tests__/entry/secondAttempts.test.ts
@@ -20,7 +20,7 @@
 
 // Guards against a guest that waits for one slow run while other upstreams would answer in the usual time.
 test('a second attempt begins when the first one takes unusually long, and its answer reaches the guest', async (context) => {
-  const { start, exchanges, counters, lines, loads, probes } = await openSecondAttemptFixture(context)
+  const { start, exchanges, counters, lines, loads, runs, probes } = await openSecondAttemptFixture(context)
   const startedAt = performance.now()
   const answer = start()
   await advance(context, SLOW_MILLISECONDS)
@@ -38,6 +38,7 @@
   assert.equal(loads.get(first!.record.id).hasFailed, false)
   assert.equal(loads.get(first!.record.id).inFlight, 0)
   assert.equal(probes(), probesBefore)
+  assert.equal(runs.list().some(({ isInFlight }) => isInFlight), false)
   const { second: upstream, secondAfter, winner, sends, tried } = lines[lines.length - 1]!
   assert.deepEqual({ upstream, winner, sends, tried }, { upstream: second!.record.id, winner: 'second', sends: 2, tried: `${first!.record.id},${second!.record.id}` })
   assert.equal(secondAfter, second!.startedAt - first!.startedAt)
--- a/__tests__/support/createSender.ts
+++ b/__tests__/support/createSender.ts
@@ -13,7 +13,8 @@
 const silentLog = { info: () => {}, warn: () => {}, error: () => {} }
 
 /** Parts of an entry relay that send requests and hold back those that end upstreams. */
-export interface SenderParts extends Pick<EntryRelayOptions, 'gate' | 'runs' | 'sender'> {
+export interface SenderParts extends Pick<EntryRelayOptions, 'gate' | 'sender'> {
+  runs: UpstreamRuns
   crashes: CrashTable
   detector: CrashDetector
 }
