--- a/__tests__/cli/trace.test.ts
+++ b/__tests__/cli/trace.test.ts
@@ -65,3 +65,11 @@
 test('the trace says in words that all upstreams asked for a pause', () => {
   assert.match(describeRequestLine(parseLogLine(refusedAt(59_000))!).join(' '), /all upstreams of the service had asked for a pause/)
 })
+
+// Guards against an operator who takes the second attempt for a retry after a failure.
+test('the trace of a request with a second attempt tells when it began and which one answered', () => {
+  const text = 'time=2026-03-19T02:52:08.334Z level=info host=edge-1 event=request-answered step=answer request=a route=r service=s plan=4 tried=i-1,i-2 waited=0 candidates=20 rank=0 fill=0 sends=2 second=i-2 secondAfter=120 winner=WINNER outcome=ran status=200 took=220'
+  const describe = (winner: string): string => describeRequestLine(parseLogLine(text.replace('WINNER', winner))!).join(' ')
+  assert.match(describe('second'), /The attempt at i-2 began 120 ms after the first one and beside it; the second one answered\./)
+  assert.match(describe('none'), /neither answered\./)
+})
--- a/__tests__/entry/secondAttempts.test.ts
+++ b/__tests__/entry/secondAttempts.test.ts
@@ -279,3 +279,16 @@
     assert.deepEqual(readCounts(counters), { begun: 2, won: 2, lost: 0, denied: 2 })
   })
 }
+
+// Guards against a guest whose request is lost because an optional check failed.
+test('a first attempt continues when the check before the second one fails', async (context) => {
+  const { start, exchanges, detector, lines } = await openSecondAttemptFixture(context)
+  const answer = start()
+  await advance(context, 10)
+  detector.checkCopies = async () => { throw new Error('no check') }
+  await advance(context, SLOW_MILLISECONDS)
+  assert.equal(exchanges.length, 1)
+  exchanges[0]!.respond('first')
+  assert.equal(String((await answer).body), 'first')
+  assert.equal(lines[lines.length - 1]!.secondDenied, 'suspect')
+})
--- a/src/cli/trace/describeRequestLine.ts
+++ b/src/cli/trace/describeRequestLine.ts
@@ -51,7 +51,14 @@
   const attemptedUpstreams = fields.get('tried') ?? ''
   if (attemptedUpstreams === '') return 'It was sent to no upstream.'
   const cause = fields.get('cause')
-  return `It was tried at ${attemptedUpstreams.split(',').join(', then ')}; ${fields.get('sends')} of these attempts reached an upstream${cause === undefined ? '' : ` (last failure: ${cause})`}.`
+  return `It was tried at ${attemptedUpstreams.split(',').join(', then ')}; ${fields.get('sends')} of these attempts reached an upstream${cause === undefined ? '' : ` (last failure: ${cause})`}.${describeSecondAttempt(fields)}`
+}
+
+function describeSecondAttempt (fields: LogLine['fields']): string {
+  const upstream = fields.get('second')
+  if (upstream === undefined) return ''
+  const winner = fields.get('winner')
+  return ` The attempt at ${upstream} began ${fields.get('secondAfter')} ms after the first one and beside it; ${winner === 'none' ? 'neither' : `the ${winner} one`} answered.`
 }
 
 function describeReason (fields: LogLine['fields']): string {
--- a/src/entry/SecondAttempts.ts
+++ b/src/entry/SecondAttempts.ts
@@ -2,6 +2,7 @@
 import type { StopWindow } from '../limits/StopWindow.js'
 import type { Counters } from '../observe/Counters.js'
 import { SECOND_ATTEMPT_COUNTERS } from '../observe/declareCounters.js'
+import type { Log } from '../observe/Log.js'
 import { computeSecondAttemptDelay, decideSecondAttempt } from '../placement/decideSecondAttempt.js'
 import { RetryShare, type RetryBound } from '../placement/RetryShare.js'
 import { RouteRunTimes, type KnownRuns } from '../placement/RouteRunTimes.js'
@@ -9,6 +10,7 @@
 import { Outcome } from '../types/Outcome.js'
 import { RequestClass } from '../types/RequestClass.js'
 import { SecondDenial } from '../types/SecondDenial.js'
+import { Step } from '../types/Step.js'
 import { Winner } from '../types/Winner.js'
 import { once } from '../utils/once.js'
 import { waitWithinDeadline } from '../utils/waitWithinDeadline.js'
@@ -37,6 +39,7 @@
   stopWindow: Pick<StopWindow, 'admits'>
   retryBound: () => RetryBound
   counters: Counters
+  log: Log
 }
 
 /** Parts of an entry relay that second attempts use. */
@@ -149,17 +152,27 @@
 
   /** @returns the upstream of a second attempt that begins now and is counted, or why there is none */
   async #choose (first: RunningAttempt, isOver: () => boolean): Promise<PlacementCandidate | SecondDenial> {
-    const { gate } = this.#options
-    const { fingerprint } = first.progress
     const expected = this.#decide(first)
     if (typeof expected === 'string') return expected
-    if (gate.isSuspect(fingerprint) || !await gate.admitsCopy(fingerprint)) return SecondDenial.Suspect
+    if (!await this.#admitsCopy(first)) return SecondDenial.Suspect
     // The first attempt may have ended while its upstream was checked.
     if (isOver() || first.race.isWon || first.request.cancelled.aborted) return SecondDenial.NotFaster
     const chosen = this.#decide(first)
     return typeof chosen === 'string' ? chosen : this.#spend(first.progress.service) ?? chosen
   }
 
+  /** A check that fails costs the second attempt, and not the first one. */
+  async #admitsCopy ({ progress, chosen }: RunningAttempt): Promise<boolean> {
+    const { gate, log } = this.#options
+    if (gate.isSuspect(progress.fingerprint)) return false
+    try {
+      return await gate.admitsCopy(progress.fingerprint)
+    } catch (error) {
+      log.warn('crash-check-failed', { step: Step.Dispatch, peer: chosen.record.address, cause: String(error) })
+      return false
+    }
+  }
+
   #decide ({ request, progress, runs, isFirstWarm, startedAt }: RunningAttempt): PlacementCandidate | SecondDenial {
     const { stopWindow, admission } = this.#options
     if (!stopWindow.admits(request.deadline)) return SecondDenial.Stopping
