--- a/__tests__/entry/openGuestFixture.ts
+++ b/__tests__/entry/openGuestFixture.ts
@@ -1,6 +1,7 @@
 import { connect, type Socket } from 'node:net'
 import type { TestContext } from 'node:test'
 import { readGuestFields } from '../../platform/wire/readGuestFields.js'
+import type { EntryRelayOptions } from '../../src/entry/EntryRelay.js'
 import { GuestListener } from '../../src/entry/GuestListener.js'
 import { HeldAmount } from '../../src/limits/HeldAmount.js'
 import { StopWindow } from '../../src/limits/StopWindow.js'
@@ -30,10 +31,10 @@
 }
 
 /** Opens upstreams that respond as given and an entry host's listener that relays to them. */
-export async function openGuestFixture (context: TestContext, respond: Parameters<typeof openRawServer>[0], routeOverrides: Partial<PlanRoute> = {}, upstreamCount = 1): Promise<GuestFixture> {
+export async function openGuestFixture (context: TestContext, respond: Parameters<typeof openRawServer>[0], routeOverrides: Partial<PlanRoute> = {}, upstreamCount = 1, options: Partial<EntryRelayOptions> = {}): Promise<GuestFixture> {
   const upstreams: RawServer[] = []
   for (let number = 0; number < upstreamCount; number += 1) upstreams.push(await openRawServer(respond))
-  const { relay, known, connections } = createRelayFixture(upstreams.map(({ address }) => address), routeOverrides)
+  const { relay, known, connections } = createRelayFixture(upstreams.map(({ address }) => address), routeOverrides, options)
   const guestListener = new GuestListener({ known, relay, stopWindow: new StopWindow(), bodies: { large: new HeldAmount(67_108_864) }, readFields: readGuestFields, random: () => 0, counters: new Counters(), log: silentLog })
   const listener = new HttpListener({ address: ADDRESS, headerBytes: 65_536, handle: (message, response) => guestListener.handle(message, response), onMalformed: () => '' })
   await listener.open()
