--- a/__tests__/entry/UpstreamChoice.test.ts
+++ b/__tests__/entry/UpstreamChoice.test.ts
@@ -31,7 +31,7 @@
     { record: createUpstreamRecord({ id: 'i-case', address: '127.0.0.9:3', ...overrides }), isLost }
   ]
   known.merge(createFollowReply({ plan: createPlan(1), upstreams, isComplete: true, entryHosts: 1 }))
-  const choice = new UpstreamChoice({ hostName: 'entry-1', region: 'asturias', known, loads, runs: { isProven: () => true }, stopWindow: new StopWindow(), regionOf: () => 'asturias' })
+  const choice = new UpstreamChoice({ hostName: 'entry-1', domain: 'oviedo', region: 'asturias', known, loads, runs: { isProven: () => true }, stopWindow: new StopWindow(), regionOf: () => 'asturias' })
   const progress = new RequestProgress('inventario', 'f')
   progress.recordAttempt('i-first')
   return { known, loads, listForSecond: () => choice.listForSecond(createEntryRequest(), progress).map(({ record }) => record.id).sort() }
--- a/__tests__/entry/openGuestFixture.ts
+++ b/__tests__/entry/openGuestFixture.ts
@@ -1,7 +1,7 @@
 import { connect, type Socket } from 'node:net'
 import type { TestContext } from 'node:test'
 import { readGuestFields } from '../../platform/wire/readGuestFields.js'
-import type { EntryRelayOptions } from '../../src/entry/EntryRelay.js'
+import type { EntryRelayOptions } from '../../src/entry/EntryRelayOptions.js'
 import { GuestListener } from '../../src/entry/GuestListener.js'
 import { HeldAmount } from '../../src/limits/HeldAmount.js'
 import { StopWindow } from '../../src/limits/StopWindow.js'
