Share calls to a slow control host, and let bodies of small pieces wait longer for each other

Change: at most 32 calls for single records wait for one control host; further records share a call. A body with too many small pieces waits up to 10 s for others.

--- a/src/limits/MessageMemory.ts
+++ b/src/limits/MessageMemory.ts
@@ -7,8 +7,11 @@
 const SMALL_PIECE_BYTES = 1_024
 /** Small pieces of one message that are handled per second: each takes some microseconds, however small it is. */
 const PIECES_PER_SECOND = 4_096
-/** Longest wait of one message for those of others, in milliseconds. */
-const MAXIMUM_SHARED_PAUSE_MILLISECONDS = 1_000
+/**
+ * Longest wait of one message for those of others, in milliseconds. Up to 680 pieces are read after each wait, so that 300 messages with waits
+ * of one second took a whole processor.
+ */
+const MAXIMUM_SHARED_PAUSE_MILLISECONDS = 10_000
 
 /** What the messages of one kind, such as bodies of requests, may hold together at a host. */
 export interface MessagePools {
--- a/src/registry/PeerOutbox.ts
+++ b/src/registry/PeerOutbox.ts
@@ -12,6 +12,11 @@
 /** Delay before an unconfirmed record is sent again. */
 const RESEND_DELAY_MILLISECONDS = 50
 
+/** Calls for single records that wait for an answer of the peer; further records wait and share a call. Each call takes 10 KB on the heap. */
+const MAXIMUM_SINGLE_CALLS = 32
+/** Records that share a call. */
+const MAXIMUM_SHARED_RECORDS = 256
+
 /** Dependencies of {@link PeerOutbox}. */
 export interface PeerOutboxOptions {
   describeSelf: () => ControlHost
@@ -25,12 +30,19 @@
   queuedAt: number
 }
 
+interface WaitingRecord {
+  pending: PendingRecord
+  resolve: (sent: Promise<void>) => void
+}
+
 /** Updates that one other control host has not confirmed yet. */
 export class PeerOutbox {
   readonly #options: PeerOutboxOptions
   readonly #pendingRecordsById = new Map<string, PendingRecord>()
   readonly #pendingRenewalsById = new Map<string, { record: UpstreamRecord, receivedAt: number }>()
   #isFlushing = false
+  #callCount = 0
+  #waiting: WaitingRecord[] = []
 
   /** @param options - the call to the peer, and the local state to send */
   constructor (options: PeerOutboxOptions) {
@@ -56,7 +68,7 @@
     const pending: PendingRecord = { record, queuedAt: performance.now() }
     this.#pendingRecordsById.set(record.id, pending)
     while (performance.now() - pending.queuedAt < CONFIRMATION_TIMEOUT_MILLISECONDS) {
-      const isConfirmed = await this.#sendBatch([pending], [], []).then(() => true, () => false)
+      const isConfirmed = await this.#sendSoon(pending).then(() => true, () => false)
       if (isConfirmed) return
       await pause(RESEND_DELAY_MILLISECONDS)
     }
@@ -75,6 +87,29 @@
       .finally(() => { this.#isFlushing = false })
   }
 
+  /** Callers that announce without end, beside a peer that is slow, would else have thousands of calls wait for it. */
+  async #sendSoon (pending: PendingRecord): Promise<void> {
+    if (this.#callCount < MAXIMUM_SINGLE_CALLS) return await this.#sendCounted([pending])
+    await new Promise<void>((resolve) => { this.#waiting.push({ pending, resolve }) })
+  }
+
+  async #sendCounted (pending: PendingRecord[]): Promise<void> {
+    this.#callCount += 1
+    try {
+      await this.#sendBatch(pending, [], [])
+    } finally {
+      this.#callCount -= 1
+      this.#sendWaiting()
+    }
+  }
+
+  #sendWaiting (): void {
+    const shared = this.#waiting.splice(0, MAXIMUM_SHARED_RECORDS)
+    if (shared.length === 0) return
+    const sent = this.#sendCounted(shared.map(({ pending }) => pending))
+    for (const { resolve } of shared) resolve(sent)
+  }
+
   async #sendBatch (pending: PendingRecord[], renewals: RenewalRow[], entryHosts: Array<{ host: EntryHost, ageMilliseconds: number }>): Promise<void> {
     const now = performance.now()
     const records = pending.map(({ record, queuedAt }) => ({ record, ageMilliseconds: Math.round(now - queuedAt) }))
