Count only requests within their quota for retries, and end the wait on an unreadable reply

Requests over a quota raised the number of retries that others were allowed. A reply of a control host in another form left the requests of its accounts waiting for ever.

--- a/__tests__/quota/AccountQuota.test.ts
+++ b/__tests__/quota/AccountQuota.test.ts
@@ -154,6 +154,13 @@
   assert.equal(calls.length, 3)
 })
 
+// Guards against guests who wait for ever because of a reply in another form, as of a faulty or a later version.
+test('a reply that cannot be read ends the wait', async (context) => {
+  const { take } = createQuota(context, () => 5 as unknown as QuotaGrant)
+  const answer = await takeSettled(context, take(), 100)
+  assert.ok(answer !== undefined && !answer.isGranted && !answer.isExceeded)
+})
+
 // Guards against a guest that left and takes a token along.
 test('a guest that leaves stops to wait, and its token serves the next one', async (context) => {
   const { take, calls } = createQuota(context, grantAll)
--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -54,7 +54,6 @@
     const { route } = request
     const service = pickTarget(route.targets, this.#options.random())
     const progress = new RequestProgress(service, fingerprintRequest({ scope: route.host, method: request.method, path: request.path, body: request.body }))
-    this.#getRetryShare(service).recordRequest(performance.now())
     const answer = await this.#serveWithinQuota(request, progress)
     recordAnswer(this.#options, request, progress, answer)
     return answer
@@ -75,6 +74,8 @@
   }
 
   async #admit (request: EntryRequest, progress: RequestProgress): Promise<RelayAnswer> {
+    // Requests over a quota are no demand, and allow no retries.
+    this.#getRetryShare(progress.service).recordRequest(performance.now())
     const queue = this.#options.admission.recordArrival(progress.service)
     const admissionResult = await queue.enter(createAdmissionRequest(request, queue.meanHoldMilliseconds, this.#options.stopWindow), request.cancelled)
     const admittedAt = performance.now()
--- a/src/quota/AccountQuota.ts
+++ b/src/quota/AccountQuota.ts
@@ -1,4 +1,5 @@
 import type { GuestAccount } from '../plan/RoutingPlan.js'
+import { Step } from '../types/Step.js'
 import { getElapsedMilliseconds, readClocks, type ClockReading } from '../utils/ClockReading.js'
 import { AccountTokens, type SettleWaiting } from './AccountTokens.js'
 import type { QuotaAnswer } from './QuotaAnswer.js'
@@ -106,7 +107,7 @@
   /** Collects the accounts of one iteration of the event loop in one call. */
   #schedule (name: string): void {
     if (this.#accountsByName.get(name)?.isAsked === true) return
-    if (this.#dueAccounts.size === 0) setImmediate(() => { this.#callForDue().catch(() => {}) })
+    if (this.#dueAccounts.size === 0) setImmediate(() => { this.#callForDue().catch((error: unknown) => { this.#reportDefect(error) }) })
     this.#dueAccounts.add(name)
   }
 
@@ -134,7 +135,7 @@
       unanswered = asked.filter((_entry, index) => grants?.[index] == null)
       asked.forEach((entry, index) => {
         const grant = grants?.[index]
-        if (grant != null) this.#settle(entry, address, grant, requestedAt).catch(() => {})
+        if (grant != null) this.#settle(entry, address, grant, requestedAt).catch((error: unknown) => { this.#reportDefect(error) })
       })
     }
     return unanswered
@@ -179,6 +180,16 @@
     return picked
   }
 
+  /** Requests that wait must not hang because of a reply in an unexpected form. */
+  #reportDefect (error: unknown): void {
+    this.#options.log.error('quota-task-failed', { step: Step.Quota, cause: String(error) })
+    for (const entry of this.#accountsByName.values()) {
+      if (!entry.isAsked) continue
+      entry.isAsked = false
+      entry.refuseWaiting(UNAVAILABLE_MILLISECONDS, false)
+    }
+  }
+
   #receive (entry: AccountTokens, granted: number, requestedAt: ClockReading): void {
     if (granted > 0) this.#options.counters.increment(QuotaCounter.Received, granted)
     entry.tokens.add(granted, requestedAt)
