--- a/src/entry/EntryRelay.ts
+++ b/src/entry/EntryRelay.ts
@@ -49,8 +49,6 @@
     const { route } = request
     const service = pickTarget(route.targets, this.#options.random())
     const progress = new RequestProgress(service, fingerprintRequest({ scope: route.host, method: request.method, path: request.path, body: request.body }))
-    this.#retryShares.get(service).recordRequest(performance.now())
-    this.#secondAttempts.recordRequest(request)
     const answer = await this.#serveWithinQuota(request, progress)
     recordAnswer(this.#options, request, progress, answer)
     return answer
@@ -71,6 +69,9 @@
   }
 
   async #admit (request: EntryRequest, progress: RequestProgress): Promise<RelayAnswer> {
+    // Requests over a quota are no demand, and allow no retries.
+    this.#retryShares.get(progress.service).recordRequest(performance.now())
+    this.#secondAttempts.recordRequest(request)
     const queue = this.#options.admission.recordArrival(progress.service)
     const admissionResult = await queue.enter(createAdmissionRequest(request, queue.meanHoldMilliseconds, this.#options.stopWindow), request.cancelled)
     const admittedAt = performance.now()
