Form the first group with all control hosts when the seeds cannot

Cause: only a seed that starts for the first time formed a group, of exactly the three seeds, and a forming group that lost its majority was never given up.

Change: control hosts without a group, or in a forming one without a leader, ask all others.

--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -14,10 +14,12 @@
 import { RegistrySharer } from '../registry/RegistrySharer.js'
 import { UpstreamRegistry } from '../registry/UpstreamRegistry.js'
 import { UpstreamTable } from '../registry/UpstreamTable.js'
+import { PeerMethod } from '../types/PeerMethod.js'
 import { Step } from '../types/Step.js'
 import type { ControlHostOptions } from './ControlHostOptions.js'
 import { computeNeededVoters } from './computeNeededVoters.js'
 import { ControlHostTable } from './ControlHostTable.js'
+import { introduceHost } from './introduceHost.js'
 import { PlanReplica } from './PlanReplica.js'
 import { RecoveryFile } from './RecoveryFile.js'
 
@@ -50,6 +52,10 @@
     this.#upstreamTable = new UpstreamTable({ lostMilliseconds: LOST_ANNOUNCEMENT_PERIODS * announcementMilliseconds })
     this.#replica = this.#createReplica()
     this.#controlHosts = new ControlHostTable(peerAddress, () => this.#listSeedsAndMembers())
+    options.registerHandler(PeerMethod.IntroduceControlHost, async (host: ControlHost) => {
+      this.#controlHosts.recordContact(host)
+      return this.#controlHosts.listPeers()
+    })
     this.#crashes = this.#createCrashExchange()
     this.#stateFeed = this.#createFeed()
     this.#registrySharer = this.#createSharer()
@@ -129,7 +135,7 @@
         log,
         counters
       },
-      group: { seeds: () => settings().seeds, isFirstStart, listPeers: () => this.#controlHosts.listPeers(), desiredVoters: () => settings().wantedVoters, neededVoters: () => computeNeededVoters(settings()) },
+      group: { seeds: () => settings().seeds, isFirstStart, listPeers: () => this.#controlHosts.listPeers(), listControlHosts: () => this.#listControlHosts(), introduce: () => { introduceHost(this.#describeSelf(), this.#controlHosts.listPeers(), this.#options.callPeer).catch(() => {}) }, desiredVoters: () => settings().wantedVoters, neededVoters: () => computeNeededVoters(settings()) },
       onReset: () => { this.#restorePlans(undefined) },
       onFailure: restart
     })
@@ -162,7 +168,7 @@
       entryHosts: this.entryHosts,
       crashes: this.#crashes.table,
       isCurrent: () => this.#replica.status.isCurrent,
-      listControlHosts: () => [this.#describeSelf(), ...this.#controlHosts.listOthers()],
+      listControlHosts: () => this.#listControlHosts(),
       registerHandler: this.#options.registerHandler
     })
   }
@@ -235,6 +241,10 @@
     return { peerAddress, domain, region }
   }
 
+  #listControlHosts (): ControlHost[] {
+    return [this.#describeSelf(), ...this.#controlHosts.listOthers()]
+  }
+
   #isRemote (address: string): boolean {
     const region = this.#controlHosts.findRegion(address)
     return region !== undefined && region !== this.#options.settings().region
