--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -15,12 +15,14 @@
 import { RegistrySharer } from '../registry/RegistrySharer.js'
 import { UpstreamRegistry } from '../registry/UpstreamRegistry.js'
 import { UpstreamTable } from '../registry/UpstreamTable.js'
+import { PeerMethod } from '../types/PeerMethod.js'
 import { Step } from '../types/Step.js'
 import type { ControlHostOptions } from './ControlHostOptions.js'
 import { computeNeededVoters } from './computeNeededVoters.js'
 import { ControlHostTable } from './ControlHostTable.js'
 import { createQuotaDesk } from './createQuotaDesk.js'
 import { createRecoveryFile } from './createRecoveryFile.js'
+import { introduceHost } from './introduceHost.js'
 import { PlanReplica } from './PlanReplica.js'
 import type { RecoveryFile } from './RecoveryFile.js'
 
@@ -54,6 +56,10 @@
     this.#upstreamTable = new UpstreamTable({ lostMilliseconds: LOST_ANNOUNCEMENT_PERIODS * announcementMilliseconds })
     this.#replica = this.#createReplica()
     this.#controlHosts = new ControlHostTable(peerAddress, () => this.#listSeedsAndMembers())
+    options.registerHandler(PeerMethod.IntroduceControlHost, async (host: ControlHost) => {
+      this.#controlHosts.recordContact(host)
+      return this.#controlHosts.listPeers()
+    })
     this.#crashes = this.#createCrashExchange()
     this.#stateFeed = this.#createFeed()
     this.#registrySharer = this.#createSharer()
@@ -135,7 +141,7 @@
         log,
         counters
       },
-      group: { seeds: () => settings().seeds, isFirstStart, listPeers: () => this.#controlHosts.listPeers(), desiredVoters: () => settings().wantedVoters, neededVoters: () => computeNeededVoters(settings()) },
+      group: { seeds: () => settings().seeds, isFirstStart, listPeers: () => this.#controlHosts.listPeers(), listControlHosts: () => this.#listControlHosts(), introduce: () => { introduceHost(this.#describeSelf(), this.#controlHosts.listPeers(), this.#options.callPeer).catch(() => {}) }, desiredVoters: () => settings().wantedVoters, neededVoters: () => computeNeededVoters(settings()) },
       onReset: () => { this.#restorePlans(undefined) },
       onFailure: restart
     })
@@ -168,7 +174,7 @@
       entryHosts: this.entryHosts,
       crashes: this.#crashes.table,
       isCurrent: () => this.#replica.status.isCurrent,
-      listControlHosts: () => [this.#describeSelf(), ...this.#controlHosts.listOthers()],
+      listControlHosts: () => this.#listControlHosts(),
       registerHandler: this.#options.registerHandler
     })
   }
@@ -235,6 +241,10 @@
     return { peerAddress, domain, region }
   }
 
+  #listControlHosts (): ControlHost[] {
+    return [this.#describeSelf(), ...this.#controlHosts.listOthers()]
+  }
+
   #listSeedsAndMembers (): string[] {
     return [...this.#options.settings().seeds, ...this.#replica.status.configuration.members.map(({ address }) => address)]
   }
