--- a/__tests__/entry/ObservedEnds.test.ts
+++ b/__tests__/entry/ObservedEnds.test.ts
@@ -12,6 +12,7 @@
 
 const silentLog = { info: () => {}, warn: () => {}, error: () => {} }
 const WITHDRAWAL_MILLISECONDS = 2_100
+const REVIEW_MILLISECONDS = 5_000
 
 interface Fixture {
   detector: CrashDetector
@@ -32,7 +33,7 @@
   const known = new KnownState()
   const records = [1, 2, 3, 4].map((number) => createUpstreamRecord({ id: `u-${number}`, address: `127.0.0.1:${9_000 + number}` }))
   known.merge(createFollowReply({ upstreams: records.map((record) => ({ record, isLost: false })) }))
-  const detector = new CrashDetector({ runs, crashes, known, probe: async () => state, identify: async () => undefined, onChange: () => {}, saveLosses: async () => {}, log: silentLog })
+  const detector = new CrashDetector({ runs, crashes, known, probe: async () => state, identify: async ({ id }) => state === ListenerState.Open ? id : undefined, onChange: () => {}, saveLosses: async () => {}, log: silentLog })
   return { detector, crashes, known, runs, records, setState: (next) => { state = next } }
 }
 
@@ -83,6 +84,21 @@
   assert.equal(crashes.countLosses('f'), 1)
 })
 
+// Guards against a request that stays refused after a partition that refused connections, as no other request reaches its upstreams.
+test('ends that count against a refused request are withdrawn when the same starts answer health requests again', async (context) => {
+  const { detector, crashes, runs, records, setState } = createFixture(context)
+  for (const record of records.slice(0, 3)) runs.abandon(runs.begin('f', record))
+  await Promise.all(records.slice(0, 3).map((record) => detector.checkUpstream(record)))
+  detector.reviewEnds('f')
+  await advance(context, WITHDRAWAL_MILLISECONDS)
+  assert.equal(crashes.isPoison('f'), true, 'none of them answers')
+  await advance(context, REVIEW_MILLISECONDS)
+  setState(ListenerState.Open)
+  detector.reviewEnds('f')
+  await advance(context, WITHDRAWAL_MILLISECONDS)
+  assert.equal(crashes.countLosses('f'), 0)
+})
+
 test('an end is not withdrawn by an answer of a run before it, or by another start under the same identifier', async (context) => {
   const { detector, crashes, known, runs, records: [record], setState } = createFixture(context)
   runs.begin('f', record!)
--- a/__tests__/entry/SuspectGate.test.ts
+++ b/__tests__/entry/SuspectGate.test.ts
@@ -20,7 +20,7 @@
   const tables = [new CrashTable(), new CrashTable()]
   const gates = tables.map((crashes) => new SuspectGate({
     crashes,
-    detector: { checkCopies: async () => {} },
+    detector: { checkCopies: async () => {}, reviewEnds: () => {} },
     listControlHosts: () => controlHosts,
     callPeer: async <Result>(address: string, _method: string, request: object) => {
       if (silentHosts.includes(address)) throw new Error('no answer')
@@ -52,7 +52,7 @@
   pauseClock(context)
   const crashes = new CrashTable()
   const callPeer = async <Result>(): Promise<Result> => ({ isGranted: true, record: crashes.describe('f') }) as Result
-  const gate = new SuspectGate({ crashes, detector: { checkCopies: async () => {} }, listControlHosts: () => ['control'], callPeer, log: silentLog })
+  const gate = new SuspectGate({ crashes, detector: { checkCopies: async () => {}, reviewEnds: () => {} }, listControlHosts: () => ['control'], callPeer, log: silentLog })
   const upstreams = ['a@1', 'b@1', 'c@1']
   for (const upstream of upstreams) crashes.recordLoss(upstream, ['f'])
   const entered = gate.enter(createRequest())
--- a/src/crashes/CrashTable.ts
+++ b/src/crashes/CrashTable.ts
@@ -115,6 +115,12 @@
     return entry === undefined ? 0 : this.#simultaneousEnds.count(this.#listOpenLosses(entry))
   }
 
+  /** @returns whether the last end of an upstream process counts against a request */
+  hasOpenLoss (fingerprint: string, incarnation: string): boolean {
+    const entry = this.#find(fingerprint)
+    return entry !== undefined && this.#listOpenLosses(entry).includes(this.#nameEnd(incarnation))
+  }
+
   /** @returns milliseconds since this host learned of the last loss, infinite when there is none */
   getLossAge (fingerprint: string): number {
     return performance.now() - (this.#find(fingerprint)?.lastLossAt ?? Number.NEGATIVE_INFINITY)
--- a/src/entry/CrashDetector.ts
+++ b/src/entry/CrashDetector.ts
@@ -109,6 +109,11 @@
     this.#observedEnds.recordAnswer(record, startedAt)
   }
 
+  /** Looks whether upstreams whose ends count against a refused request have ended. */
+  reviewEnds (fingerprint: string): void {
+    this.#observedEnds.review(fingerprint).catch((error: unknown) => { this.#options.log.warn('crash-check-failed', { step: Step.Dispatch, content: abbreviateFingerprint(fingerprint), cause: String(error) }) })
+  }
+
   /** Records that no connection to an upstream could be made. Hosts with requests in flight there look for themselves. */
   recordUnreachable (record: UpstreamRecord): void {
     const { crashes, onChange } = this.#options
--- a/src/entry/ObservedEnds.ts
+++ b/src/entry/ObservedEnds.ts
@@ -18,7 +18,10 @@
  * before its first announcement has reached all hosts.
  */
 const WITHDRAWAL_DELAY_MILLISECONDS = 2_000
+/** Interval at which the upstreams whose ends count against a refused request are asked again; one question takes up to 3 s. */
+const REVIEW_MILLISECONDS = 5_000
 const MINIMUM_REMEMBERED_UPSTREAMS = 1_000
+const MINIMUM_REMEMBERED_REQUESTS = 1_000
 
 interface Moment {
   id: string
@@ -31,6 +34,8 @@
 export interface ObservedEndsOptions {
   crashes: CrashTable
   known: KnownState
+  /** Asks which upstream answers at the address of a record; resolves with undefined when none names itself. */
+  identify: (record: UpstreamRecord) => Promise<string | undefined>
   /** Called after the crash table changed here. */
   onChange: () => void
 }
@@ -39,6 +44,7 @@
 export class ObservedEnds {
   readonly #options: ObservedEndsOptions
   readonly #endedAt = new RecentMap<number>(MINIMUM_REMEMBERED_UPSTREAMS)
+  readonly #reviewedAt = new RecentMap<number>(MINIMUM_REMEMBERED_REQUESTS)
   #moment: Moment | undefined
 
   /** @param options - the crash table and the known upstreams */
@@ -82,6 +88,27 @@
     const incarnation = getIncarnation(record)
     const endedAt = this.#endedAt.get(incarnation)
     if (endedAt === undefined || endedAt > begunAt) return
+    this.#withdrawLater(record, incarnation)
+  }
+
+  /**
+   * Asks the upstreams whose ends count against a request whether they have ended, every five seconds at most. Nothing else may
+   * tell when only the refused request would reach them.
+   *
+   * @param fingerprint - digest of a request that is refused for its losses
+   */
+  async review (fingerprint: string): Promise<void> {
+    const { crashes, known, identify } = this.#options
+    const now = performance.now()
+    if (now - (this.#reviewedAt.get(fingerprint) ?? Number.NEGATIVE_INFINITY) < REVIEW_MILLISECONDS) return
+    this.#reviewedAt.set(fingerprint, now)
+    const suspected = known.upstreams.list().filter(({ record }) => crashes.hasOpenLoss(fingerprint, getIncarnation(record)) && !known.upstreams.isReplaced(record))
+    await Promise.all(suspected.map(async ({ record }) => {
+      if (await identify(record) === record.id) this.#withdrawLater(record, getIncarnation(record))
+    }))
+  }
+
+  #withdrawLater (record: UpstreamRecord, incarnation: string): void {
     this.#endedAt.delete(incarnation)
     setTimeout(() => { this.#withdraw(record, incarnation) }, WITHDRAWAL_DELAY_MILLISECONDS).unref()
   }
--- a/src/entry/SuspectGate.ts
+++ b/src/entry/SuspectGate.ts
@@ -29,7 +29,7 @@
 /** Dependencies of {@link SuspectGate}. */
 export interface SuspectGateOptions {
   crashes: CrashTable
-  detector: Pick<CrashDetector, 'checkCopies'>
+  detector: Pick<CrashDetector, 'checkCopies' | 'reviewEnds'>
   /** @returns peer addresses of all known control hosts */
   listControlHosts: () => string[]
   callPeer: CallPeer
@@ -65,8 +65,12 @@
    */
   async enter (request: GatedRequest): Promise<(() => void) | RefusalReason> {
     const { fingerprint } = request
-    await this.#options.detector.checkCopies(fingerprint)
-    if (this.#isRefused(fingerprint)) return RefusalReason.Poison
+    const { detector } = this.#options
+    await detector.checkCopies(fingerprint)
+    if (this.#isRefused(fingerprint)) {
+      detector.reviewEnds(fingerprint)
+      return RefusalReason.Poison
+    }
     return this.isSuspect(fingerprint) ? await this.#waitForPermit(request) : () => {}
   }
 
