--- a/__tests__/entry/SuspectGate.test.ts
+++ b/__tests__/entry/SuspectGate.test.ts
@@ -101,7 +101,7 @@
 test('a further copy is admitted after the upstreams of those in flight were checked, and only without losses', async () => {
   const crashes = new CrashTable()
   let endsUpstream = false
-  const detector = { checkCopies: async (fingerprint: string) => { if (endsUpstream) crashes.recordLoss('a@1', [fingerprint]) } }
+  const detector = { checkCopies: async (fingerprint: string) => { if (endsUpstream) crashes.recordLoss('a@1', [fingerprint]) }, reviewEnds: () => {} }
   const gate = new SuspectGate({ crashes, detector, listControlHosts: () => [], callPeer: async () => { throw new Error('no answer') }, log: silentLog })
   assert.equal(await gate.admitsCopy('f'), true)
   endsUpstream = true
--- a/src/control/introduceHost.ts
+++ b/src/control/introduceHost.ts
@@ -15,6 +15,7 @@
  */
 export async function introduceHost (host: ControlHost, peers: readonly string[], callPeer: CallPeer): Promise<void> {
   const known = new Set([host.peerAddress, ...peers])
+  // A host that does not answer gets the next introduction, a second later.
   const introduceTo = async (address: string): Promise<string[]> => await callPeer<string[]>(address, PeerMethod.IntroduceControlHost, host, TIMEOUT_MILLISECONDS).catch(() => [])
   await Promise.all(peers.map(async (peer) => {
     for (const address of await introduceTo(peer)) {
