Share quotas in hundredths of a request

Leases pass between control hosts in hundredths of a unit. The rounding of wanted rates for small budgets is no longer needed.

--- a/src/limits/BudgetLeaseClient.ts
+++ b/src/limits/BudgetLeaseClient.ts
@@ -74,7 +74,7 @@
     return spent
   }
 
-  /** @returns whole amounts that this host may spend now from its part of a budget; 0 for an unknown budget */
+  /** @returns amount in whole units that this host may spend now from its part of a budget; 0 for an unknown budget */
   available (budget: string): number {
     return this.#budgetsByName.get(budget)?.available ?? 0
   }
@@ -178,7 +178,7 @@
   #listDemands (): LeaseDemand[] {
     return [...this.#budgetsByName].map(([budget, leasedBudget]) => ({
       budget,
-      wantedPerSecond: Math.ceil(leasedBudget.wantedPerSecond * leasedBudget.wantedStepsPerUnit) / leasedBudget.wantedStepsPerUnit,
+      wantedPerSecond: Math.ceil(leasedBudget.wantedPerSecond),
       heldPerSecond: leasedBudget.heldPerSecond,
       lentPerSecond: this.#lendSpare(leasedBudget)
     }))
--- a/src/limits/BudgetLeases.ts
+++ b/src/limits/BudgetLeases.ts
@@ -63,7 +63,7 @@
     return this.#rolesByScope.get(scope)?.client.spendUpTo(budget, amount) ?? 0
   }
 
-  /** @returns whole amounts that the local host may spend now from its part of a budget; 0 for an unknown scope or budget */
+  /** @returns amount in whole units that the local host may spend now from its part of a budget; 0 for an unknown scope or budget */
   available (scope: string, budget: string): number {
     return this.#rolesByScope.get(scope)?.client.available(budget) ?? 0
   }
--- a/src/limits/LeasedBudget.ts
+++ b/src/limits/LeasedBudget.ts
@@ -56,15 +56,11 @@
     return this.#tokenBucket.rate
   }
 
-  /** Whole amounts that may be spent now. */
+  /** Amount in whole units that may be spent now. */
   get available (): number {
     this.#removeEnded()
-    return Math.max(0, Math.floor(this.#tokenBucket.balance))
-  }
-
-  /** Number of steps per unit to which wanted rates are rounded up: budgets with a separate burst may be below one unit per second. */
-  get wantedStepsPerUnit (): number {
-    return this.#budget.burst === undefined ? 1 : 100
+    const { unit } = this.#budget
+    return Math.max(0, Math.floor(this.#tokenBucket.balance / unit) * unit)
   }
 
   /** Amount per second of the lease; 0 when none runs. */
@@ -131,7 +127,7 @@
   }
 
   /**
-   * Spends as much of an amount as is available, in whole units. It is not counted as demand, see {@link recordDemand}.
+   * Spends as much of an amount of whole units as is available. It is not counted as demand, see {@link recordDemand}.
    *
    * @returns the amount spent
    */
--- a/src/quota/QuotaLeases.ts
+++ b/src/quota/QuotaLeases.ts
@@ -8,6 +8,7 @@
 import type { PeerMethod } from '../types/PeerMethod.js'
 import { Step } from '../types/Step.js'
 import { SuspensionDetector } from '../utils/SuspensionDetector.js'
+import { UNITS_PER_REQUEST } from './createQuotaBudget.js'
 import { createQuotaScope, listQuotaMembers, QUOTA_SCOPE } from './createQuotaScope.js'
 import { QuotaCounter } from './QuotaCounter.js'
 
@@ -81,28 +82,28 @@
   /** Counts requests of an account as demand, whether they got tokens or not. */
   recordDemand (account: string, amount: number): void {
     this.#checkSuspension()
-    this.#leases.recordDemand(QUOTA_SCOPE, account, amount, false)
+    this.#leases.recordDemand(QUOTA_SCOPE, account, amount * UNITS_PER_REQUEST, false)
   }
 
   /** @returns number of tokens taken from the account's bucket, at most the amount */
   spendUpTo (account: string, amount: number): number {
     this.#checkSuspension()
-    return this.#leases.spendUpTo(QUOTA_SCOPE, account, amount)
+    return this.#leases.spendUpTo(QUOTA_SCOPE, account, amount * UNITS_PER_REQUEST) / UNITS_PER_REQUEST
   }
 
   /** @returns number of tokens in the account's bucket */
   available (account: string): number {
-    return this.#leases.available(QUOTA_SCOPE, account)
+    return this.#leases.available(QUOTA_SCOPE, account) / UNITS_PER_REQUEST
   }
 
   /** @returns requests per second of the account that this host may currently grant */
   rate (account: string): number {
-    return this.#leases.rate(QUOTA_SCOPE, account) ?? 0
+    return (this.#leases.rate(QUOTA_SCOPE, account) ?? 0) / UNITS_PER_REQUEST
   }
 
   /** @returns milliseconds until the account's bucket has a token */
   computeWait (account: string): number {
-    return this.#leases.computeWait(QUOTA_SCOPE, account, 1)
+    return this.#leases.computeWait(QUOTA_SCOPE, account, UNITS_PER_REQUEST)
   }
 
   /** Returns leases and promises to the other control hosts, and stops. */
