Close connections whose caller reads nothing by what leaves the handle, and tell what connections hold

Cause: a large response is one write, so that its progress could not be seen by completed writes, and a slow reader would have been closed. Change: the check compares the queue of the handle as well. Gauges tell the bytes that connections count and how many were closed for them.

--- a/__tests__/observe/MemoryMonitor.test.ts
+++ b/__tests__/observe/MemoryMonitor.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import type { ConnectionMemory } from '../../src/limits/ConnectionMemory.js'
 import { Counters } from '../../src/observe/Counters.js'
 import { MemoryMonitor } from '../../src/observe/MemoryMonitor.js'
 import { pauseClock } from '../support/pauseClock.js'
@@ -9,7 +10,7 @@
   pauseClock(context)
   const counters = new Counters()
   const warnings: string[] = []
-  const monitor = new MemoryMonitor({ info: () => {}, warn: (event) => { warnings.push(event) }, error: () => {} }, counters, () => 7)
+  const monitor = new MemoryMonitor({ info: () => {}, warn: (event) => { warnings.push(event) }, error: () => {} }, counters, { heldBytes: 7, connections: { heldBytes: 5, closed: 2 } as unknown as ConnectionMemory })
   monitor.start()
   context.mock.timers.tick(1_000)
   monitor.stop()
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -53,7 +53,7 @@
     this.#metricSink = settings.metricsAddress === undefined ? undefined : createMetricSink(settings.metricsAddress, { host: settings.host.name, domain: settings.host.domain })
     this.counters = new Counters(this.#metricSink)
     declareCounters(this.counters)
-    this.#memoryMonitor = new MemoryMonitor(log, this.counters, () => this.#memory.heldBytes)
+    this.#memoryMonitor = new MemoryMonitor(log, this.counters, this.#memory)
     this.#transport = createTransport(settings, this.#memory, this.counters, log)
     this.membership = createMembership(settings, this.#transport, this.counters, log)
     this.sheets = new HostSheets({ settings, transport: this.#transport, otherMembers: () => this.#listOtherMembers(), counters: this.counters, log })
--- a/src/observe/MemoryMonitor.ts
+++ b/src/observe/MemoryMonitor.ts
@@ -1,5 +1,6 @@
 import { getHeapStatistics } from 'node:v8'
 import { Step } from '../types/Step.js'
+import type { HostMemory } from '../limits/HostMemory.js'
 import type { Counters } from './Counters.js'
 import type { Log } from './Log.js'
 
@@ -12,6 +13,8 @@
 const HEAP_LIMIT_GAUGE = 'memory.heap-limit-bytes'
 const EXTERNAL_GAUGE = 'memory.external-bytes'
 const HELD_GAUGE = 'memory.held-bytes'
+const CONNECTION_GAUGE = 'memory.connection-bytes'
+const CLOSED_GAUGE = 'connections.closed-for-memory'
 
 /**
  * Watches the memory of the process. Bytes outside the heap beside a full heap tell buffers from objects, and the bytes that
@@ -20,19 +23,19 @@
 export class MemoryMonitor {
   readonly #log: Log
   readonly #counters: Counters
-  readonly #heldBytes: () => number
+  readonly #memory: Pick<HostMemory, 'heldBytes' | 'connections'>
   #lastLoggedAt = Number.NEGATIVE_INFINITY
   #timer: NodeJS.Timeout | undefined
 
   /**
    * @param log - receives a warning while the heap is nearly full
    * @param counters - receives heap, heap limit, memory outside the heap and held bytes as gauges, in bytes
-   * @param heldBytes - returns what messages hold by the count of their bounds, in bytes
+   * @param memory - what messages and connections hold by the count of their bounds
    */
-  constructor (log: Log, counters: Counters, heldBytes: () => number) {
+  constructor (log: Log, counters: Counters, memory: Pick<HostMemory, 'heldBytes' | 'connections'>) {
     this.#log = log
     this.#counters = counters
-    this.#heldBytes = heldBytes
+    this.#memory = memory
   }
 
   start (): void {
@@ -45,7 +48,9 @@
 
   #check (): void {
     const { used_heap_size: heap, heap_size_limit: limit, external_memory: external } = getHeapStatistics()
-    const held = this.#heldBytes()
+    const { heldBytes: held, connections } = this.#memory
+    this.#counters.gauge(CONNECTION_GAUGE, connections.heldBytes)
+    this.#counters.gauge(CLOSED_GAUGE, connections.closed)
     this.#counters.gauge(HEAP_GAUGE, heap)
     this.#counters.gauge(HEAP_LIMIT_GAUGE, limit)
     this.#counters.gauge(EXTERNAL_GAUGE, external)
--- a/src/transport/ConnectionReader.ts
+++ b/src/transport/ConnectionReader.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { isDeepStrictEqual } from 'node:util'
 import { ConnectionState, type ConnectionMemory, type ConnectionShare } from '../limits/ConnectionMemory.js'
 
 /** Bytes that are parsed at once while no body arrives: up to 20 requests, of which the connection is paused at 16. */
@@ -33,9 +34,10 @@
   #isLatestWaiting = false
   #headBytes = 0
   #requests = 0
-  /** Number of bytes that the kernel had taken of the responses at the last check. */
-  #writtenBytes = 0
+  /** What waited to be written at the last check. */
+  #unwritten = { bytesWritten: 0, writableLength: 0, queuedBytes: 0 }
   #unwrittenSince: number | undefined
+  #isUnread = false
 
   /**
    * @param socket - connection that the HTTP library has just begun to read
@@ -96,10 +98,11 @@
    */
   closeIfUnread (now: number, timeoutMilliseconds: number): void {
     const { writableLength, bytesWritten } = this.#socket
-    const writtenBytes = bytesWritten - writableLength
+    const unwritten = { bytesWritten, writableLength, queuedBytes: countQueuedBytes(this.#socket) }
     const isWaiting = writableLength > 0
-    if (!isWaiting || writtenBytes !== this.#writtenBytes) this.#unwrittenSince = isWaiting ? now : undefined
-    this.#writtenBytes = writtenBytes
+    if (!isWaiting || !isDeepStrictEqual(unwritten, this.#unwritten)) this.#unwrittenSince = isWaiting ? now : undefined
+    this.#unwritten = unwritten
+    this.#isUnread = this.#unwrittenSince !== undefined && this.#unwrittenSince < now
     this.#record()
     if (this.#unwrittenSince !== undefined && now - this.#unwrittenSince >= timeoutMilliseconds) this.#socket.destroy()
   }
@@ -147,7 +150,7 @@
   }
 
   get #state (): ConnectionState {
-    if (this.#unwrittenSince !== undefined) return ConnectionState.Unread
+    if (this.#isUnread) return ConnectionState.Unread
     if (this.#requests === 0) return this.#headBytes > 0 ? ConnectionState.Arriving : ConnectionState.Idle
     return this.#requests === 1 && this.#latest?.complete === false ? ConnectionState.Arriving : ConnectionState.Busy
   }
@@ -166,3 +169,9 @@
   socket.off(event, listener)
   return listener
 }
+
+/** A large write counts as one until its end, while its bytes leave the queue of the handle one after another, as the runtime's own timeout counts them. */
+function countQueuedBytes (socket: Socket): number {
+  const { _handle: handle } = socket as Socket & { _handle?: { writeQueueSize?: number } | null }
+  return handle?.writeQueueSize ?? 0
+}
