--- a/__tests__/control/ControlCluster.ts
+++ b/__tests__/control/ControlCluster.ts
@@ -68,8 +68,8 @@
   }
 
   /** @returns hosts that have just begun to form a replica group */
-  static begin (context: TestContext, hostCount: number, seed = 1): ControlCluster {
-    const cluster = new ControlCluster(context, hostCount, seed)
+  static begin (context: TestContext, hostCount: number): ControlCluster {
+    const cluster = new ControlCluster(context, hostCount)
     for (const { process } of cluster.#createHosts()) process.open().then(async () => { await process.start() }, () => {})
     return cluster
   }
--- a/src/agreement/AppendHandler.ts
+++ b/src/agreement/AppendHandler.ts
@@ -1,4 +1,4 @@
-import { checkCall, checkUnsealed } from './checkCall.js'
+import { checkCall } from './checkCall.js'
 import type { LogEntry } from './LogEntry.js'
 import type { AppendReply } from './messages/AppendReply.js'
 import type { AppendRequest } from './messages/AppendRequest.js'
@@ -24,7 +24,6 @@
   async handleAppend (request: AppendRequest): Promise<AppendReply> {
     const core = this.#core
     checkCall(core, request)
-    checkUnsealed(core, request)
     if (core.role === ReplicaRole.Empty) return { term: core.term, success: false, index: 0 }
     if (request.term < core.term) return { term: core.term, success: false, index: core.tail.last.index + 1 }
     core.recordLeaderContact(request.term, request.sender)
--- a/src/agreement/Bootstrap.ts
+++ b/src/agreement/Bootstrap.ts
@@ -1,8 +1,9 @@
+import { createHash } from 'node:crypto'
 import { ReplicaRefusedError } from '../errors/ReplicaRefusedError.js'
 import { errorTexts } from '../errors/errorTexts.js'
 import { PeerMethod } from '../types/PeerMethod.js'
 import { Step } from '../types/Step.js'
-import { createGroupIdentity, listFirstMembers } from './createGroupIdentity.js'
+import { MemberRole } from './MemberRole.js'
 import type { ReconfigureAnswer } from './messages/ReconfigureAnswer.js'
 import type { ReconfigureRequest } from './messages/ReconfigureRequest.js'
 import { ReconfigureAction } from './ReconfigureAction.js'
@@ -28,18 +29,13 @@
   /**
    * @param addresses - peer addresses of all first members
    * @param neededVoters - number of voters that the group must have had before it accepts values
-   * @param identities - identities that the replicas must have, in the order of the addresses; any if undefined
    * @returns first state of the group, which all members have adopted
    * @throws {@link ReplicaRefusedError} when a replica belongs to another group or has not started, or the list is invalid
    */
-  async run (addresses: string[], neededVoters: number, identities?: readonly string[]): Promise<Snapshot> {
+  async run (addresses: string[], neededVoters: number): Promise<Snapshot> {
     if (addresses.length === 0 || new Set(addresses).size !== addresses.length) this.#refuse(errorTexts.bootstrapAddressesInvalid(), '')
     const statuses = await Promise.all(addresses.map((address) => this.#fetchStatus(address)))
     this.#requireStarted(addresses, statuses)
-    identities?.forEach((identity, index) => {
-      const { identity: found } = statuses[index]!
-      if (found !== identity) this.#refuse(errorTexts.replicaIdentityMismatch(identity, found), addresses[index]!)
-    })
     const snapshot = this.#createFirstSnapshot(addresses, statuses, neededVoters)
     statuses.forEach(({ group }, index) => {
       if (group !== undefined && group !== snapshot.group) this.#refuse(errorTexts.bootstrapGroupMismatch(addresses[index] ?? ''), addresses[index] ?? '')
@@ -60,33 +56,6 @@
     return { done: true, configuration: core.configuration }
   }
 
-  /**
-   * Seals this replica if its group is forming and has no leader, so that nothing was accepted as far as this replica knows.
-   *
-   * @returns whether it takes no part in the group for a moment
-   */
-  sealFormation (request: ReconfigureRequest): boolean {
-    const core = this.#core
-    if (core.options.onFormationLeft === undefined || request.attempt === undefined || !this.#isFormingWithoutLeader(request)) return false
-    core.seal.seal(request.attempt)
-    return true
-  }
-
-  /** @returns whether this replica, sealed just now, has left its forming group */
-  leaveFormation (request: ReconfigureRequest): boolean {
-    const core = this.#core
-    if (!this.#isFormingWithoutLeader(request) || request.attempt === undefined || !core.seal.leave(request.attempt)) return false
-    core.options.log.warn('formation-left', { step: Step.Reconfigure, identity: core.identity, group: core.group })
-    core.options.onFormationLeft?.()
-    return true
-  }
-
-  #isFormingWithoutLeader ({ identity, group }: ReconfigureRequest): boolean {
-    const core = this.#core
-    return core.identity === identity && core.group !== undefined && core.group === group && core.role === ReplicaRole.Follower &&
-      core.configuration.isForming === true && !core.hasLeader()
-  }
-
   /** Uses the longest call timeout, since before the group is formed nothing depends on a quick answer from a slow host. */
   #fetchStatus (address: string): Promise<ReplicaStatus> {
     const { callPeer } = this.#core.options
@@ -100,10 +69,12 @@
   }
 
   #createFirstSnapshot (addresses: string[], statuses: ReplicaStatus[], neededVoters: number): Snapshot {
-    const members = listFirstMembers(statuses.map(({ identity }, index) => ({ identity, address: addresses[index] ?? '' })))
+    const members = statuses
+      .map(({ identity }, index) => ({ identity, address: addresses[index] ?? '', role: MemberRole.Voter }))
+      .sort((left, right) => left.identity < right.identity ? -1 : 1)
     const duplicate = members.find((member, index) => member.identity === members[index + 1]?.identity)
     if (duplicate !== undefined) this.#refuse(errorTexts.bootstrapDuplicateIdentity(duplicate.identity), duplicate.address)
-    const group = createGroupIdentity(members)
+    const group = createHash('sha256').update(JSON.stringify(members)).digest('hex')
     const configuration: ReplicaConfiguration = { members, retired: [] }
     if (members.length < neededVoters) configuration.isForming = true
     return { group, position: { index: 0, term: 0 }, configuration }
--- a/src/agreement/Elections.ts
+++ b/src/agreement/Elections.ts
@@ -73,19 +73,19 @@
 
   #canTakeLeadership (request: LeadershipTransferRequest): boolean {
     const { role, term, leader, tail, configuration, identity } = this.#core
-    if (!this.#isRunning || role !== ReplicaRole.Follower || this.#core.seal.isSealed) return false
+    if (!this.#isRunning || role !== ReplicaRole.Follower) return false
     if (request.term !== term || request.sender !== leader) return false
     return isVoter(configuration, identity) && isUpToDate(tail.last, request.last)
   }
 
   #canGrantPreVote (request: VoteRequest): boolean {
     const core = this.#core
-    return request.term > core.term && !core.seal.isSealed && !this.#core.hasLeader() && isUpToDate(request.last, core.tail.last)
+    return request.term > core.term && !this.#core.hasLeader() && isUpToDate(request.last, core.tail.last)
   }
 
   #grantVoteIfAllowed (request: VoteRequest): boolean {
     const core = this.#core
-    if (request.term < core.term || core.seal.isSealed || (!request.handover && this.#core.hasLeader())) return false
+    if (request.term < core.term || (!request.handover && this.#core.hasLeader())) return false
     if (request.term > core.term) core.becomeFollower(request.term)
     if (core.votedFor !== undefined && core.votedFor !== request.sender) return false
     if (!isUpToDate(request.last, core.tail.last)) return false
@@ -111,7 +111,7 @@
     const core = this.#core
     if (!this.#isRunning || performance.now() - core.electionTimerStartedAt < timeoutMilliseconds) return false
     if (core.role !== ReplicaRole.Follower && core.role !== ReplicaRole.Candidate) return false
-    return !core.seal.isSealed && isVoter(core.configuration, core.identity)
+    return isVoter(core.configuration, core.identity)
   }
 
   async #campaign (): Promise<void> {
@@ -123,7 +123,7 @@
       core.options.counters.increment(ReplicaCounter.PreVoteLost)
       return
     }
-    if (core.term !== term || core.role === ReplicaRole.Stopped || core.seal.isSealed || core.hasRecentLeaderContact()) return
+    if (core.term !== term || core.role === ReplicaRole.Stopped || core.hasRecentLeaderContact()) return
     await this.#startElection(false)
   }
 
--- a/src/agreement/Leadership.ts
+++ b/src/agreement/Leadership.ts
@@ -92,12 +92,6 @@
       .map(({ member }) => member.identity)
   }
 
-  /** @returns number of voters that answered calls sent within the lease time, this replica included */
-  countAnsweringVoters (): number {
-    const answeredSince = performance.now() - this.#core.timings.leaseMilliseconds
-    return listVoters(this.#core.configuration).filter((member) => this.#getLastContact(member) >= answeredSince).length
-  }
-
   /** @returns whether an entry of this term is committed */
   hasCommittedInTerm (): boolean {
     return this.#core.tail.termAt(this.#core.commitIndex) === this.term
--- a/src/agreement/ReconfigureAction.ts
+++ b/src/agreement/ReconfigureAction.ts
@@ -11,9 +11,5 @@
   /** Replaces a lost member by the replica at an address. */
   Replace = 'replace',
   /** Lets a group that was forming accept values. */
-  CompleteFormation = 'complete-formation',
-  /** Makes a replica of a forming group without a leader take no part in it for a moment. */
-  SealFormation = 'seal-formation',
-  /** Makes such a replica leave the group and begin anew. */
-  LeaveFormation = 'leave-formation'
+  CompleteFormation = 'complete-formation'
 }
--- a/src/agreement/ReplicaCore.ts
+++ b/src/agreement/ReplicaCore.ts
@@ -3,7 +3,6 @@
 import { errorTexts } from '../errors/errorTexts.js'
 import { Step } from '../types/Step.js'
 import { EntryKind } from './EntryKind.js'
-import { FormationSeal } from './FormationSeal.js'
 import type { LeadershipHooks } from './LeadershipHooks.js'
 import type { LogEntry } from './LogEntry.js'
 import type { LogPosition } from './LogPosition.js'
@@ -27,7 +26,6 @@
   readonly timings: ReplicaTimings
   readonly limits: ReplicaLimits
   readonly storage: ReplicaStorage
-  readonly seal = new FormationSeal()
   identity = ''
   group: string | undefined
   role = ReplicaRole.Stopped
--- a/src/agreement/ReplicaOptions.ts
+++ b/src/agreement/ReplicaOptions.ts
@@ -25,8 +25,6 @@
   random: () => number
   /** @returns a new random identity */
   makeIdentity: () => string
-  /** Called when this replica has left a group that was not formed; it must begin anew. Without it the replica never leaves one. */
-  onFormationLeft?: () => void
   log: Log
   counters: Counters
   timings?: Partial<ReplicaTimings>
--- a/src/agreement/ReplicatedLog.ts
+++ b/src/agreement/ReplicatedLog.ts
@@ -115,12 +115,6 @@
     return leadership?.isActive === true ? leadership.listSilentMembers(silenceMilliseconds) : []
   }
 
-  /** @returns number of voters that answered this leader within its lease, itself included; 0 at a follower */
-  countAnsweringVoters (): number {
-    const { leadership } = this.#session
-    return leadership?.isActive === true ? leadership.countAnsweringVoters() : 0
-  }
-
   /**
    * Proposes a value, forwarded to the leader if this replica is not the leader.
    *
@@ -136,11 +130,10 @@
    *
    * @param addresses - peer addresses of all first members, including this replica
    * @param neededVoters - number of voters that the group must have had before it accepts values; others join and are promoted until then
-   * @param identities - identities that the replicas must have, in the order of the addresses; any if undefined
    * @returns the first membership
    */
-  async bootstrap (addresses: string[], neededVoters = addresses.length, identities?: readonly string[]): Promise<ReplicaConfiguration> {
-    const { configuration } = await this.#session.bootstrap.run(addresses, neededVoters, identities)
+  async bootstrap (addresses: string[], neededVoters = addresses.length): Promise<ReplicaConfiguration> {
+    const { configuration } = await this.#session.bootstrap.run(addresses, neededVoters)
     return configuration
   }
 
@@ -202,8 +195,6 @@
   async #reconfigure (request: ReconfigureRequest): Promise<ReconfigureAnswer> {
     const { core, bootstrap, membershipChanges, forwarding } = this.#session
     if (request.action === ReconfigureAction.AdoptGroup) return bootstrap.adoptGroup(request)
-    if (request.action === ReconfigureAction.SealFormation) return { done: bootstrap.sealFormation(request) }
-    if (request.action === ReconfigureAction.LeaveFormation) return { done: bootstrap.leaveFormation(request) }
     if (core.role === ReplicaRole.Leader && membershipChanges !== undefined) return membershipChanges.run(request)
     const reason = forwarding.findRefusalReason(request.forwarded)
     if (reason !== undefined) return { done: false, reason }
--- a/src/agreement/SnapshotReceiver.ts
+++ b/src/agreement/SnapshotReceiver.ts
@@ -1,7 +1,7 @@
 import { ReplicaRefusedError } from '../errors/ReplicaRefusedError.js'
 import { errorTexts } from '../errors/errorTexts.js'
 import { Step } from '../types/Step.js'
-import { checkCall, checkUnsealed } from './checkCall.js'
+import { checkCall } from './checkCall.js'
 import type { SnapshotChunkReply } from './messages/SnapshotChunkReply.js'
 import type { SnapshotChunkRequest } from './messages/SnapshotChunkRequest.js'
 import type { ReplicaCore } from './ReplicaCore.js'
@@ -27,7 +27,6 @@
   async handleChunk (request: SnapshotChunkRequest): Promise<SnapshotChunkReply> {
     const core = this.#core
     checkCall(core, request)
-    checkUnsealed(core, request)
     if (request.term < core.term) return { term: core.term, nextOffset: 0, installed: false }
     if (core.role !== ReplicaRole.Empty) core.recordLeaderContact(request.term, request.sender)
     if (this.#isAlreadyApplied(request)) {
--- a/src/agreement/checkCall.ts
+++ b/src/agreement/checkCall.ts
@@ -26,17 +26,6 @@
   }
 }
 
-/**
- * Refuses a call of a leader while this replica takes no part in its group.
- *
- * @param core - the replica that received the call
- * @param call - sender of the call
- * @throws {@link ReplicaRefusedError} when the replica is sealed
- */
-export function checkUnsealed (core: ReplicaCore, call: ReplicaCall): void {
-  if (core.seal.isSealed) throw new ReplicaRefusedError(errorTexts.replicaSealed(), Step.PeerCall, call.sender)
-}
-
 /**
  * Refuses a call that only a member of a group may answer.
  *
--- a/src/agreement/messages/ReconfigureRequest.ts
+++ b/src/agreement/messages/ReconfigureRequest.ts
@@ -6,14 +6,10 @@
   action: ReconfigureAction
   /** Whether a replica already forwarded the command; it is then not forwarded again. */
   forwarded: boolean
-  /** Identity of the member to promote, remove or replace, or of the replica that adopts the group, is sealed or leaves. */
+  /** Identity of the member to promote, remove or replace, or of the replica that adopts the group. */
   identity?: string
   /** Address of the replica to add. */
   address?: string
   /** First state of the group, with {@link ReconfigureAction.AdoptGroup}. */
   snapshot?: Snapshot
-  /** Identity of the group to leave, with {@link ReconfigureAction.SealFormation} and {@link ReconfigureAction.LeaveFormation}. */
-  group?: string
-  /** Identifier of the attempt to give up the group, with the same two actions. */
-  attempt?: string
 }
--- a/src/control/ControlHostProcess.ts
+++ b/src/control/ControlHostProcess.ts
@@ -15,14 +15,12 @@
 import { RegistrySharer } from '../registry/RegistrySharer.js'
 import { UpstreamRegistry } from '../registry/UpstreamRegistry.js'
 import { UpstreamTable } from '../registry/UpstreamTable.js'
-import { PeerMethod } from '../types/PeerMethod.js'
 import { Step } from '../types/Step.js'
 import type { ControlHostOptions } from './ControlHostOptions.js'
 import { computeNeededVoters } from './computeNeededVoters.js'
 import { ControlHostTable } from './ControlHostTable.js'
 import { createQuotaDesk } from './createQuotaDesk.js'
 import { createRecoveryFile } from './createRecoveryFile.js'
-import { introduceHost } from './introduceHost.js'
 import { PlanReplica } from './PlanReplica.js'
 import type { RecoveryFile } from './RecoveryFile.js'
 
@@ -56,10 +54,6 @@
     this.#upstreamTable = new UpstreamTable({ lostMilliseconds: LOST_ANNOUNCEMENT_PERIODS * announcementMilliseconds })
     this.#replica = this.#createReplica()
     this.#controlHosts = new ControlHostTable(peerAddress, () => this.#listSeedsAndMembers())
-    options.registerHandler(PeerMethod.IntroduceControlHost, async (host: ControlHost) => {
-      this.#controlHosts.recordContact(host)
-      return this.#controlHosts.listPeers()
-    })
     this.#crashes = this.#createCrashExchange()
     this.#stateFeed = this.#createFeed()
     this.#registrySharer = this.#createSharer()
@@ -141,7 +135,7 @@
         log,
         counters
       },
-      group: { seeds: () => settings().seeds, isFirstStart, listPeers: () => this.#controlHosts.listPeers(), listControlHosts: () => this.#listControlHosts(), introduce: () => { introduceHost(this.#describeSelf(), this.#controlHosts.listPeers(), this.#options.callPeer).catch(() => {}) }, desiredVoters: () => settings().wantedVoters, neededVoters: () => computeNeededVoters(settings()) },
+      group: { seeds: () => settings().seeds, isFirstStart, listPeers: () => this.#controlHosts.listPeers(), desiredVoters: () => settings().wantedVoters, neededVoters: () => computeNeededVoters(settings()) },
       onReset: () => { this.#restorePlans(undefined) },
       onFailure: restart
     })
@@ -174,7 +168,7 @@
       entryHosts: this.entryHosts,
       crashes: this.#crashes.table,
       isCurrent: () => this.#replica.status.isCurrent,
-      listControlHosts: () => this.#listControlHosts(),
+      listControlHosts: () => [this.#describeSelf(), ...this.#controlHosts.listOthers()],
       registerHandler: this.#options.registerHandler
     })
   }
@@ -241,10 +235,6 @@
     return { peerAddress, domain, region }
   }
 
-  #listControlHosts (): ControlHost[] {
-    return [this.#describeSelf(), ...this.#controlHosts.listOthers()]
-  }
-
   #listSeedsAndMembers (): string[] {
     return [...this.#options.settings().seeds, ...this.#replica.status.configuration.members.map(({ address }) => address)]
   }
--- a/src/control/PlanReplica.ts
+++ b/src/control/PlanReplica.ts
@@ -17,8 +17,8 @@
 
 /** Dependencies of {@link PlanReplica}. */
 export interface PlanReplicaOptions {
-  replica: Omit<ReplicaOptions<PlanEntry, PlanResult>, 'makeIdentity' | 'onFormationLeft'>
-  group: Pick<ReplicaGroupManagerOptions, 'seeds' | 'isFirstStart' | 'listPeers' | 'listControlHosts' | 'introduce' | 'desiredVoters' | 'neededVoters'>
+  replica: Omit<ReplicaOptions<PlanEntry, PlanResult>, 'makeIdentity'>
+  group: Pick<ReplicaGroupManagerOptions, 'seeds' | 'isFirstStart' | 'listPeers' | 'desiredVoters' | 'neededVoters'>
   /** Called before the applied state is discarded, since the replica begins anew. */
   onReset: () => void
   /** Called when the replica cannot be opened anew. */
@@ -31,7 +31,6 @@
   #replica: ReplicatedLog<PlanEntry, PlanResult>
   #groupManager: ReplicaGroupManager
   #isStopping = false
-  #isRejoining = false
 
   /** @param options - state machine, folder, transport and group */
   constructor (options: PlanReplicaOptions) {
@@ -106,7 +105,7 @@
   }
 
   #createReplica (): ReplicatedLog<PlanEntry, PlanResult> {
-    return new ReplicatedLog<PlanEntry, PlanResult>({ ...this.#options.replica, makeIdentity: randomUUID, onFormationLeft: () => { this.#beginAnew() } })
+    return new ReplicatedLog<PlanEntry, PlanResult>({ ...this.#options.replica, makeIdentity: randomUUID })
   }
 
   #createGroupManager (isFirstStart: boolean): ReplicaGroupManager {
@@ -117,18 +116,11 @@
       address,
       isFirstStart,
       callPeer,
-      onRetired: () => { this.#beginAnew() },
+      onRetired: () => { this.#rejoin().catch((error: unknown) => { this.#reportFailure(error) }) },
       log
     })
   }
 
-  #beginAnew (): void {
-    if (this.#isRejoining) return
-    this.#isRejoining = true
-    this.#groupManager.stop()
-    this.#rejoin().catch((error: unknown) => { this.#reportFailure(error) }).finally(() => { this.#isRejoining = false })
-  }
-
   /** Begins anew, with another identity and an empty log. The old files stay until the replica has joined a group. */
   async #rejoin (): Promise<void> {
     const { replica: { files, folder }, onReset } = this.#options
--- a/src/control/ReplicaGroupManager.ts
+++ b/src/control/ReplicaGroupManager.ts
@@ -7,14 +7,12 @@
 import { ReplicaRole } from '../agreement/ReplicaRole.js'
 import type { ReplicaStatus } from '../agreement/ReplicaStatus.js'
 import type { Log } from '../observe/Log.js'
-import type { ControlHost } from '../registry/ControlHost.js'
 import type { CallPeer } from '../transport/CallPeer.js'
 import { PeerMethod } from '../types/PeerMethod.js'
 import { Step } from '../types/Step.js'
 import { askWithHedging } from '../utils/askWithHedging.js'
 import { pause } from '../utils/pause.js'
 import { chooseRepair, RepairKind, type GroupHealth, type Repair } from './chooseRepair.js'
-import { GroupFormation } from './GroupFormation.js'
 import { isFormationOver } from './isFormationOver.js'
 
 const CHECK_INTERVAL_MILLISECONDS = 200
@@ -31,11 +29,9 @@
 const STATUS_TIMEOUT_MILLISECONDS = 500
 /** Delay per preceding seed before a seed forms the group, which gives those seeds time to form it first. */
 const BOOTSTRAP_DELAY_MILLISECONDS = 2_000
-/** Interval at which the leader of a forming group looks for another one; a group is usually complete within two seconds. */
-const OTHER_GROUPS_INTERVAL_MILLISECONDS = 3_000
 
 /** The part of a replica that {@link ReplicaGroupManager} uses. */
-export type ManagedReplica = Pick<ReplicatedLog<unknown, unknown>, 'status' | 'bootstrap' | 'promote' | 'remove' | 'replace' | 'completeFormation' | 'listSilent' | 'countAnsweringVoters'>
+export type ManagedReplica = Pick<ReplicatedLog<unknown, unknown>, 'status' | 'bootstrap' | 'promote' | 'remove' | 'replace' | 'completeFormation' | 'listSilent'>
 
 /** Dependencies of {@link ReplicaGroupManager}. */
 export interface ReplicaGroupManagerOptions {
@@ -48,10 +44,6 @@
   isFirstStart: boolean
   /** @returns peer addresses of all other known control hosts */
   listPeers: () => string[]
-  /** @returns all known control hosts, this one included */
-  listControlHosts: () => ControlHost[]
-  /** Tells the other known control hosts the address and location of this one, since a host that is no seed is known to none. */
-  introduce: () => void
   /** @returns number of voters in a complete group */
   desiredVoters: () => number
   /** @returns number of voters with which a majority survives the loss of all disks that may be lost at once */
@@ -66,9 +58,6 @@
 export class ReplicaGroupManager {
   readonly #options: ReplicaGroupManagerOptions
   readonly #startedAt = performance.now()
-  readonly #formation: GroupFormation
-  /** Monotonic time at which other groups were last looked for, in milliseconds. */
-  #otherGroupsCheckedAt = performance.now()
   #isRunning = false
   #lastLeaderContactAt = performance.now()
   #wasCurrent = false
@@ -80,12 +69,10 @@
   /** @param options - the replica, its peers and the size of the group */
   constructor (options: ReplicaGroupManagerOptions) {
     this.#options = options
-    this.#formation = new GroupFormation(options)
   }
 
   /** Checks the group periodically until {@link stop}. */
   async run (): Promise<void> {
-    if (this.#isRunning) return
     this.#isRunning = true
     while (this.#isRunning) {
       await this.#checkGroup()
@@ -105,7 +92,6 @@
     if (hasQuorum || hearsLeader) this.#lastLeaderContactAt = now
     if (!hasQuorum) this.#formingSince = undefined
     if (isUnusable === true) return await this.#retireIfGroupWorks(failure)
-    await this.#formation.run(this.#lastLeaderContactAt)
     if (role === ReplicaRole.Empty) await this.#formOrJoinGroup()
     else if (hasQuorum) await this.#maintainGroup()
     else if (now - this.#lastLeaderContactAt > LEADER_SILENCE_MILLISECONDS) await this.#checkRetired()
@@ -143,8 +129,7 @@
     const { replica, log } = this.#options
     const seeds = this.#options.seeds()
     try {
-      // The leader ends the forming once enough voters have answered it.
-      await replica.bootstrap(seeds, Number.MAX_SAFE_INTEGER)
+      await replica.bootstrap(seeds, this.#options.neededVoters())
       log.info('group-formed', { step: Step.Reconfigure, members: seeds.join(',') })
       return true
     } catch (error) {
@@ -173,21 +158,13 @@
   }
 
   async #checkFormation (): Promise<void> {
-    const { replica, neededVoters, desiredVoters, log } = this.#options
-    const { configuration, group } = replica.status()
+    const { replica, neededVoters, log } = this.#options
+    const { configuration } = replica.status()
     this.#formingSince ??= performance.now()
     const milliseconds = performance.now() - this.#formingSince
-    const formation = { neededVoters: neededVoters(), answeringVoters: replica.countAnsweringVoters(), desiredVoters: desiredVoters(), milliseconds }
-    if (!isFormationOver(configuration, formation)) return await this.#checkOtherGroups(milliseconds)
+    if (!isFormationOver(configuration, { neededVoters: neededVoters(), milliseconds })) return
     const { done, reason } = await replica.completeFormation()
-    log.info('group-complete', { step: Step.Reconfigure, group, voters: listVoters(configuration).length, answering: formation.answeringVoters, needed: neededVoters(), took: Math.round(milliseconds), done, reason })
-  }
-
-  /** Hosts that this group waits for may have formed another one. */
-  async #checkOtherGroups (formingMilliseconds: number): Promise<void> {
-    if (formingMilliseconds < OTHER_GROUPS_INTERVAL_MILLISECONDS || performance.now() - this.#otherGroupsCheckedAt < OTHER_GROUPS_INTERVAL_MILLISECONDS) return
-    this.#otherGroupsCheckedAt = performance.now()
-    await this.#checkRetired()
+    log.info('group-complete', { step: Step.Reconfigure, voters: listVoters(configuration).length, needed: neededVoters(), took: Math.round(milliseconds), done, reason })
   }
 
   async #repairGroup (): Promise<void> {
@@ -218,13 +195,7 @@
     this.#lastLeaderContactAt = performance.now()
     // A removal that is not committed may still be dropped, and the identity would have been given up for nothing.
     const confirmsRemoval = (status: ReplicaStatus): boolean => status.isConfigurationCommitted !== false && status.group === group && status.configuration.retired.includes(identity)
-    if (statuses.some((status) => status !== undefined && (confirmsRemoval(status) || this.#isSuperseded(status)))) this.#retire()
-  }
-
-  /** At most one group ever accepts values, so the group of this replica never will if it is still forming and another one does. */
-  #isSuperseded ({ group, hasQuorum, configuration }: ReplicaStatus): boolean {
-    const own = this.#options.replica.status()
-    return own.configuration.isForming === true && hasQuorum && group !== own.group && configuration.isForming !== true
+    if (statuses.some((status) => status !== undefined && confirmsRemoval(status))) this.#retire()
   }
 
   /** Without a leader the replica could not join anyway, and its vote may still be needed, should its files be intact at the next start. */
--- a/src/control/isFormationOver.ts
+++ b/src/control/isFormationOver.ts
@@ -1,7 +1,5 @@
 import { MemberRole } from '../agreement/MemberRole.js'
 import { listVoters, type ReplicaConfiguration } from '../agreement/ReplicaConfiguration.js'
-import { excludesOther } from './chooseFormation.js'
-import { computeMajority } from './computeMajority.js'
 
 /**
  * Time after which a group accepts plans although it never had the voters that it needs: hosts that are later than this may
@@ -15,28 +13,20 @@
 export interface Formation {
   /** Number of voters with which a majority survives the loss of all disks that may be lost at once. */
   neededVoters: number
-  /** Number of voters that have answered the leader just now, itself included. */
-  answeringVoters: number
-  /** Number of voters in a complete group. */
-  desiredVoters: number
   /** How long this leader has led the forming group. */
   milliseconds: number
 }
 
 /**
  * Answers the first orders after a start, while hosts join one after another: a majority of the few voters so far could be
- * lost with its disks, and the orders with it. A voter that is lost already does not count. After a while a group accepts
- * plans with fewer voters, but never with so few that the other control hosts could form another group.
+ * lost with its disks, and the orders with it.
  *
  * @param configuration - members of a group that is forming
  * @param formation - size that the group needs, and how long it has been forming
  * @returns whether the group accepts plans from now on
  */
-export function isFormationOver (configuration: ReplicaConfiguration, { neededVoters, answeringVoters, desiredVoters, milliseconds }: Formation): boolean {
-  const { length } = listVoters(configuration)
-  const losses = computeMajority(neededVoters) - 1
-  if (length >= neededVoters && answeringVoters - losses >= computeMajority(length)) return true
-  if (!excludesOther(length, desiredVoters)) return false
+export function isFormationOver (configuration: ReplicaConfiguration, { neededVoters, milliseconds }: Formation): boolean {
+  if (listVoters(configuration).length >= neededVoters) return true
   const hasLearners = configuration.members.some(({ role }) => role === MemberRole.Learner)
   return milliseconds >= (hasLearners ? MAXIMUM_JOINING_MILLISECONDS : MAXIMUM_FORMATION_MILLISECONDS)
 }
--- a/src/errors/errorTexts.ts
+++ b/src/errors/errorTexts.ts
@@ -30,7 +30,6 @@
   replicaWithoutGroup: () => 'this replica has not joined a group; bootstrap the group, or add this replica to one',
   replicaIdentityMismatch: (requested: string, local: string) => `the call is addressed to replica ${requested}, but this is replica ${local}`,
   replicaGroupMismatch: () => 'the call comes from another replica group',
-  replicaSealed: () => 'this replica takes no part in its group, which is being given up',
   replicaRetired: (identity: string) => `replica ${identity} was removed from the group and cannot rejoin it`,
   snapshotTooLarge: (bytes: number, limit: number) => `the snapshot has ${bytes} bytes; the limit is ${limit}`,
   snapshotInstallationRunning: () => 'another snapshot is being installed',
--- a/src/types/PeerMethod.ts
+++ b/src/types/PeerMethod.ts
@@ -11,8 +11,6 @@
   Propose = 'agreement.propose',
   Reconfigure = 'agreement.reconfigure',
   ReplicaStatus = 'agreement.status',
-  /** A control host without a group tells another one its address and location. */
-  IntroduceControlHost = 'control.introduce',
   FetchSheet = 'sheet.fetch',
   SheetRevision = 'sheet.revision',
   LedgerClaim = 'ledger.claim',
