--- a/src/observe/recordListenerFault.ts
+++ b/src/observe/recordListenerFault.ts
@@ -1,5 +1,5 @@
 import type { ListenerFault } from '../transport/ListenerFault.js'
-import type { ListenerFaultDetails } from '../transport/HttpListener.js'
+import type { ListenerFaultDetails } from '../transport/HttpListenerOptions.js'
 import { Step } from '../types/Step.js'
 import type { Counters } from './Counters.js'
 import { listenerFaultCounter } from './declareCounters.js'
--- a/src/relay/AnswerCollector.ts
+++ b/src/relay/AnswerCollector.ts
@@ -10,6 +10,7 @@
 import type { ExchangeAnswer, ExchangeRequest } from './exchange.js'
 import { findCopy } from './findCopy.js'
 import { BODILESS_STATUSES, hasDelimitedBody, type AnswerFraming } from './hasDelimitedBody.js'
+import { listHeaders } from './listHeaders.js'
 import type { HeaderField } from './RelayedRequest.js'
 import { RepeatedAnswer } from './RepeatedAnswer.js'
 import { separateAnswers } from './separateAnswers.js'
@@ -248,10 +249,3 @@
   if (method === 'HEAD' || !BODILESS_STATUSES.has(status)) return false
   return Number(headers['content-length'] ?? 0) !== 0 || headers['transfer-encoding'] !== undefined
 }
-
-function listHeaders (headers: IncomingHttpHeaders): HeaderField[] {
-  return Object.entries(headers).flatMap(([name, value]) => {
-    if (Array.isArray(value)) return value.map((each) => ({ name, value: each }))
-    return value === undefined ? [] : [{ name, value }]
-  })
-}
--- a/src/transport/HttpListener.ts
+++ b/src/transport/HttpListener.ts
@@ -4,7 +4,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { HibiscusrelayError } from '../errors/HibiscusrelayError.js'
 import { errorTexts } from '../errors/errorTexts.js'
-import type { ConnectionMemory } from '../limits/ConnectionMemory.js'
 import { DiscardedBytes } from '../limits/DiscardedBytes.js'
 import { Step } from '../types/Step.js'
 import { passPollPhase } from '../utils/passPollPhase.js'
@@ -14,6 +13,7 @@
 import { ConnectionReader } from './ConnectionReader.js'
 import { ConnectionTurns } from './ConnectionTurns.js'
 import { discardArriving } from './discardArriving.js'
+import type { HttpListenerOptions, ListenerFaultDetails } from './HttpListenerOptions.js'
 import { ListenerFault } from './ListenerFault.js'
 import { ListenerResponse } from './ListenerResponse.js'
 import { endPause } from './pauseFor.js'
@@ -28,31 +28,6 @@
 /** Connections that the kernel accepts for a listener of Node.js while the process is late. */
 const ACCEPT_QUEUE_LENGTH = 511
 
-/** Details of a {@link ListenerFault}. */
-export interface ListenerFaultDetails {
-  /** IP address of the caller, undefined when its connection is gone. */
-  peer: string | undefined
-  /** Path and query of the request, undefined when none could be read. */
-  path?: string
-  cause: string
-}
-
-/** Settings of an {@link HttpListener}. */
-export interface HttpListenerOptions {
-  /** Address to listen on, `ip:port`. */
-  address: string
-  /** Maximum size of the headers of a request, in bytes. */
-  headerBytes: number
-  /** Handles one request; it must end the response. */
-  handle: (request: IncomingMessage, response: ServerResponse, arrivedAt: number) => Promise<void>
-  /** Creates the raw answer, with this status, to bytes that are not a valid HTTP request; `reason` is the error code of Node.js. */
-  onMalformed: (status: number, reason: string) => string
-  /** Memory of the connections of all listeners of the process; unbounded by default. */
-  connectionMemory?: ConnectionMemory | undefined
-  /** Called for each fault, for counters and logs. */
-  onFault?: (fault: ListenerFault, details: ListenerFaultDetails) => void
-}
-
 /** Listens for HTTP requests on one address, and can stop without aborting requests in flight. */
 export class HttpListener {
   readonly #server: Server
